Add marlwinch, the node on real sockets round the module

The reading of settings moves from the adapter into the library, and its errors name the field's place after their text, which the adapter's test of bad settings needs.

--- a/src/bin/larchspread-drill/main.rs
+++ b/src/bin/larchspread-drill/main.rs
@@ -2,11 +2,10 @@
 //! come on standard input, replies go to standard output. Knows nothing of how decisions are made.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
+use larchspread::settings::{self, Column};
 use larchspread::{Balancer, Event};
-use settings::Column;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -22,8 +21,8 @@
 
 impl Instance {
     fn start(settings: &[u8], seed: u64) -> Result<Self, String> {
-        let (settings, columns) = settings::parse(settings)?;
-        Ok(Instance { balancer: Balancer::new(settings, seed), columns })
+        let (settings, host) = settings::parse(settings)?;
+        Ok(Instance { balancer: Balancer::new(settings, seed), columns: host.columns })
     }
 
     /// Lets the module decide. An error is the message of its panic.
--- a/src/bin/larchspread-drill/wire.rs
+++ b/src/bin/larchspread-drill/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's frames: batches of events in, one reply with actions for each.
 
-use crate::settings::{Column, millis};
+use larchspread::settings::{Column, millis};
 use larchspread::{
     Action, AttemptEnd, Event, ListKind, LoadReport, NewRequest, Outcome, ProbeEnd, RequestId, ServerEntry,
     ServerId, ServerState,
--- /dev/null
+++ b/src/bin/marlwinch/config.rs
@@ -0,0 +1,121 @@
+//! What the node is told at its start: the configuration file, and the variables that name it.
+
+use crate::discovery::{Roster, Update};
+use larchspread::settings::{self, HostSettings};
+use larchspread::{ListKind, Settings};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Everything the node runs on, checked.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory_mb: usize,
+    pub settings: Settings,
+    pub host: HostSettings,
+    /// What is known of the backends, and the list that says so.
+    pub roster: Roster,
+    pub known: Option<Update>,
+}
+
+/// Why the node can't start. Its text is one line that names the file or variable, and the field.
+#[derive(Debug)]
+pub enum ConfigError {
+    Variable { name: &'static str, what: String },
+    Read { path: String, source: std::io::Error },
+    Field { path: String, what: String },
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            ConfigError::Variable { name, what } => write!(f, "{name}: {what}"),
+            ConfigError::Read { path, source } => write!(f, "{path}: {source}"),
+            ConfigError::Field { path, what } => write!(f, "{path}: {}", what.replace('\n', " ")),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: Option<serde_json::Value>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+/// Reads the file that `ROUTER_CONFIG` names. The other variables say the same as its fields and win where set.
+pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let path = variable("ROUTER_CONFIG").ok_or(ConfigError::Variable {
+        name: "ROUTER_CONFIG",
+        what: "not set; it names the configuration".into(),
+    })?;
+    let text = std::fs::read(&path).map_err(|source| ConfigError::Read { path: path.clone(), source })?;
+    let mut config = parse(&text).map_err(|what| ConfigError::Field { path, what })?;
+    if let Some(name) = variable("ROUTER_NAME") {
+        config.name = name;
+    }
+    let address = |name: &'static str| match variable(name).map(|text| text.parse()) {
+        None => Ok(None),
+        Some(Ok(address)) => Ok(Some(address)),
+        Some(Err(e)) => Err(ConfigError::Variable { name, what: format!("{e}") }),
+    };
+    config.listen = address("ROUTER_LISTEN")?.unwrap_or(config.listen);
+    config.discovery = address("ROUTER_DISCOVERY")?.unwrap_or(config.discovery);
+    Ok(config)
+}
+
+/// Reads the text of a configuration. An error names the field.
+fn parse(text: &[u8]) -> Result<Config, String> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+    json.end().map_err(|e| e.to_string())?;
+    let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?;
+    let (settings, host) =
+        settings::parse(file.settings.to_string().as_bytes()).map_err(|e| format!("settings: {e}"))?;
+    if settings.list_on_request {
+        return Err("settings.RegistryMode: this node takes pushed lists only".into());
+    }
+    if host.classes.iter().any(String::is_empty) {
+        return Err("settings.Classes: a class without a Name".into());
+    }
+    if file.limits.sockets < 64 {
+        return Err(format!("limits.sockets: {} are too few, 64 at least", file.limits.sockets));
+    }
+    let mut roster = Roster::new(host.zones.clone(), host.kinds.clone());
+    let known = match file.known {
+        None | Some(serde_json::Value::Null) => None,
+        Some(list) => {
+            let update = roster.read_value(list).map_err(|e| format!("known: {e}"))?;
+            Some(Update { kind: ListKind::Cached, ..update })
+        }
+    };
+    Ok(Config {
+        name: file.name,
+        listen: file.listen,
+        discovery: file.discovery,
+        seed,
+        sockets: file.limits.sockets,
+        memory_mb: file.limits.memory_mb,
+        settings,
+        host,
+        roster,
+        known,
+    })
+}
--- /dev/null
+++ b/src/bin/marlwinch/discovery.rs
@@ -0,0 +1,257 @@
+//! The list of backends: reading its lines, and the watch that brings them.
+
+use crate::logging::Limited;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use larchspread::{ListKind, ServerEntry, ServerId, ServerState};
+use log::{debug, info};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// A watch with no line for so long is dead: one is due every 2 s, and its news counts as told after 6 s.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// The longest line, several thousand backends. Guards the node's memory against a line that never ends.
+const LONGEST_LINE: usize = 2 << 20;
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
+
+/// One change of the list, for the module and for the connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Update {
+    pub kind: ListKind,
+    pub version: u32,
+    pub entries: Vec<(ServerEntry, SocketAddr)>,
+}
+
+/// The entries as last understood, so that a bad one leaves its backend as it was.
+pub struct Roster {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    last: HashMap<ServerId, (String, ServerEntry, SocketAddr)>,
+    version: u32,
+    bad: Limited,
+}
+
+#[derive(Deserialize)]
+struct RawList {
+    generation: u32,
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawEntry {
+    instance_id: String,
+    host_port: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    #[serde(default)]
+    cell: u16,
+    lifecycle: Lifecycle,
+    #[serde(default = "one")]
+    weight: f32,
+    #[serde(default)]
+    started_at_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Lifecycle {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+fn one() -> f32 {
+    1.0
+}
+
+/// A backend's number: a hash (FNV-1a) of its name, so that it outlives restarts of the node and changes of address.
+pub fn server_id(name: &str) -> ServerId {
+    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    }))
+}
+
+impl Roster {
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
+        Roster { zones, kinds, last: HashMap::new(), version: 0, bad: Limited::default() }
+    }
+
+    /// Reads a line of the watch. A bad line is an error and changes nothing.
+    fn read(&mut self, line: &[u8]) -> Result<Update, String> {
+        self.read_value(serde_json::from_slice(line).map_err(|e| e.to_string())?)
+    }
+
+    /// Reads a list. A bad entry is logged and leaves its backend as it was, which in a whole list means listed.
+    pub fn read_value(&mut self, list: serde_json::Value) -> Result<Update, String> {
+        let list: RawList = serde_path_to_error::deserialize(list).map_err(|e| e.to_string())?;
+        let mut entries = Vec::with_capacity(list.instances.len());
+        for raw in list.instances {
+            let id = raw.get("instanceId").and_then(|id| id.as_str()).map(server_id);
+            match serde_path_to_error::deserialize(raw).map_err(|e| e.to_string()).and_then(|e| self.entry(e))
+            {
+                Ok(entry) => entries.push(entry),
+                Err(what) => {
+                    self.bad
+                        .warn(|| format!("discovery: generation {}: entry skipped: {what}", list.generation));
+                    let kept = id.filter(|_| list.reset).and_then(|id| self.last.get(&id));
+                    entries.extend(kept.map(|(_, entry, address)| (*entry, *address)));
+                }
+            }
+        }
+        if list.reset {
+            let listed: Vec<_> = entries.iter().map(|(entry, _)| entry.id).collect();
+            self.last.retain(|id, _| listed.contains(id));
+        }
+        self.version = self.version.max(list.generation);
+        let kind = if list.reset { ListKind::Full } else { ListKind::Changes };
+        Ok(Update { kind, version: list.generation, entries })
+    }
+
+    fn entry(&mut self, raw: RawEntry) -> Result<(ServerEntry, SocketAddr), String> {
+        let id = server_id(&raw.instance_id);
+        if let Some((name, ..)) = self.last.get(&id).filter(|(name, ..)| *name != raw.instance_id) {
+            return Err(format!("instanceId: {:?} has the number of {name:?}", raw.instance_id));
+        }
+        let zone = self.zones.iter().position(|zone| *zone == raw.zone);
+        let zone = zone.and_then(|zone| u8::try_from(zone).ok());
+        let kind = self.kinds.iter().position(|kind| *kind == raw.machine_type).unwrap_or(usize::MAX);
+        let started = Duration::try_from_secs_f64(raw.started_at_ms / 1000.0)
+            .map_err(|e| format!("startedAtMs: {e}"))?;
+        let entry = ServerEntry {
+            id,
+            zone: zone.ok_or_else(|| format!("zone: {:?} is none of the settings' Localities", raw.zone))?,
+            kind: u8::try_from(kind).unwrap_or(u8::MAX),
+            cell: raw.cell,
+            state: match raw.lifecycle {
+                Lifecycle::InService => ServerState::Ready,
+                Lifecycle::Terminating => ServerState::Draining,
+                Lifecycle::Terminated => ServerState::Gone,
+            },
+            weight: raw.weight,
+            // The module's clock is Unix time that never runs back (see `node::Clock`).
+            started: (!started.is_zero()).then_some(started),
+        };
+        if entry.state == ServerState::Gone {
+            self.last.remove(&id);
+        } else {
+            self.last.insert(id, (raw.instance_id, entry, raw.host_port));
+        }
+        Ok((entry, raw.host_port))
+    }
+}
+
+/// Why a watch is over.
+#[derive(Debug, PartialEq)]
+enum WatchEnd {
+    /// No connection, or no answer 200.
+    NotUp(String),
+    /// No line in time.
+    Silent,
+    /// The connection or the answer ended.
+    Ended(String),
+}
+
+impl fmt::Display for WatchEnd {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            WatchEnd::NotUp(what) => write!(f, "not up: {what}"),
+            WatchEnd::Silent => write!(f, "silent"),
+            WatchEnd::Ended(what) => write!(f, "ended: {what}"),
+        }
+    }
+}
+
+/// Keeps a watch open for as long as the node runs, and hands on what it brings. Nothing that happens to the watch
+/// empties the list: the node goes on with what it has.
+pub async fn follow(address: SocketAddr, mut roster: Roster, updates: mpsc::Sender<Update>) {
+    let mut backoff = Duration::ZERO;
+    let mut down = false;
+    loop {
+        let mut came = false;
+        let end = watch(address, &mut roster, &updates, &mut came).await;
+        if updates.is_closed() {
+            return;
+        }
+        // A lost watch is reopened at once; one that won't come up, after a pause that grows.
+        backoff = if came { Duration::ZERO } else { (2 * backoff).clamp(FIRST_BACKOFF, LONGEST_BACKOFF) };
+        if came || !down {
+            info!("discovery: watch from {} is over, {end}", roster.version);
+        } else {
+            debug!("discovery: still no watch, {end}");
+        }
+        down = !came;
+        tokio::time::sleep(backoff).await;
+    }
+}
+
+async fn watch(
+    address: SocketAddr,
+    roster: &mut Roster,
+    updates: &mpsc::Sender<Update>,
+    came: &mut bool,
+) -> WatchEnd {
+    let opened = timeout(SILENCE, async {
+        let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+        let io = TokioIo::new(stream);
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(io).await.map_err(|e| e.to_string())?;
+        let driver = crate::backends::Driver::spawn(connection);
+        let request = Request::get(format!("/v1/endpoints?watch=1&from={}", roster.version))
+            .header(header::HOST, address.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(|e| e.to_string())?;
+        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        Ok((answer.into_body(), sender, driver))
+    });
+    let (mut body, _sender, _driver) = match opened.await {
+        Ok(Ok(opened)) => opened,
+        Ok(Err(what)) => return WatchEnd::NotUp(what),
+        Err(_) => return WatchEnd::NotUp("no answer in time".into()),
+    };
+    let mut pending = Vec::new();
+    loop {
+        let frame = match timeout(SILENCE, body.frame()).await {
+            Err(_) => return WatchEnd::Silent,
+            Ok(None) => return WatchEnd::Ended("its answer is over".into()),
+            Ok(Some(Err(e))) => return WatchEnd::Ended(e.to_string()),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        pending.extend_from_slice(&data);
+        while let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = pending.drain(..=end).collect();
+            *came = true;
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            match roster.read(&line) {
+                Ok(update) => {
+                    debug!("discovery: {update:?}");
+                    if updates.send(update).await.is_err() {
+                        return WatchEnd::Ended("the node ends".into());
+                    }
+                }
+                Err(what) => roster.bad.warn(|| format!("discovery: line skipped: {what}")),
+            }
+        }
+        if pending.len() > LONGEST_LINE {
+            return WatchEnd::Ended(format!("a line of over {LONGEST_LINE} bytes"));
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/marlwinch/main.rs
@@ -0,0 +1,97 @@
+//! marlwinch: a load-balancing node on real sockets. The decisions are the module's (`larchspread`); this program
+//! takes clients' requests, carries out what the module orders, and tells it what came of that.
+#![forbid(unsafe_code)]
+
+mod backends;
+mod clients;
+mod config;
+mod discovery;
+mod logging;
+mod node;
+
+use backends::Backends;
+use clients::{Clients, Connections};
+use config::Config;
+use larchspread::Balancer;
+use log::{error, info};
+use node::Node;
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+
+/// Descriptors for the listener, discovery, the runtime and the standard streams.
+const KEPT_FREE: usize = 32;
+/// What a client's connection may hold: a request, its answer, and hyper's buffers for both sides.
+const KIB_A_CLIENT: usize = 192;
+
+fn main() -> ExitCode {
+    logging::start();
+    let config = match config::load(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(e) => {
+            error!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            error!("no runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match LocalSet::new().block_on(&runtime, run(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            error!("{what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the node until SIGTERM and all is answered.
+async fn run(config: Config) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
+    // Half of the descriptors for clients; half of the memory, too.
+    let sockets = config.sockets - KEPT_FREE;
+    let most_clients = (sockets / 2).min(config.memory_mb * 1024 / 2 / KIB_A_CLIENT).max(1);
+    let (limits, host) = (config.settings.limits, config.host);
+    let backends = Rc::new(Backends::new(
+        sockets - most_clients,
+        limits.connect_timeout,
+        host.idle_close,
+        host.columns.clone(),
+    ));
+    let (events, events_out) = mpsc::unbounded_channel();
+    let (lists, lists_out) = mpsc::channel(4);
+    let ready = Rc::new(Cell::new(false));
+    info!("{} listens on {}: at most {most_clients} clients", config.name, config.listen);
+
+    let balancer = Balancer::new(config.settings.clone(), config.seed);
+    let node = Node::new(balancer, backends, events.clone(), ready.clone());
+    let node = spawn_local(node.run(events_out, lists_out, config.known));
+    spawn_local(discovery::follow(config.discovery, config.roster, lists));
+    let clients = Rc::new(Clients {
+        settings: config.settings,
+        host,
+        events,
+        ready,
+        ending: Cell::new(false),
+        taken: Cell::new(1),
+        connections: Connections::default(),
+    });
+    let end = async move {
+        terminate.recv().await;
+    };
+    tokio::select! {
+        () = clients::serve(clients, listener, most_clients, end) => Ok(()),
+        // It runs for as long as the clients' side holds its channel: this is a fault, and no request would be
+        // answered any more.
+        end = node => Err(format!("the node's task ended: {:?}", end.err())),
+    }
+}
--- /dev/null
+++ b/src/bin/marlwinch/node.rs
@@ -0,0 +1,369 @@
+//! The task that owns the [`Balancer`], its timers and the open requests. It tells the module what happens and
+//! carries out what that orders, in order. It decides nothing.
+
+use crate::backends::{Backends, Ended, Payload, Reply};
+use crate::discovery::Update;
+use larchspread::{Action, AttemptEnd, Balancer, Event, NewRequest, Outcome, ProbeEnd, RequestId, ServerId};
+use log::{debug, info};
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep_until};
+
+/// How often the figures of the node go to the log, and idle connections are looked at.
+const FIGURES_EVERY: Duration = Duration::from_secs(10);
+const PRUNE_EVERY: Duration = Duration::from_secs(1);
+
+/// A client's request as it goes to the module, with what carries it out.
+pub struct Arrival {
+    pub new: NewRequest,
+    /// When it had come in; the client's time runs from before then.
+    pub at: Instant,
+    pub payload: Rc<Payload>,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Reply),
+    Refused { retry_after: Option<Duration> },
+    Failed { timed_out: bool },
+}
+
+/// What the other tasks tell this one. There is at most one arrival and one departure for each client connection
+/// and one end for each attempt and probe, so what waits is bounded by those.
+pub enum NodeEvent {
+    Arrived(Arrival),
+    Gone(RequestId),
+    AttemptEnded { id: RequestId, attempt: u32, ended: Ended },
+    Probed { server: ServerId, elapsed: Duration, ended: Ended },
+}
+
+/// The module's clock: Unix time as of the node's start, which from then on runs evenly and never back. A backend's
+/// start, told in Unix time, is a point on it as it stands.
+#[derive(Clone, Copy)]
+struct Clock {
+    started: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn now(&self) -> Duration {
+        self.unix + self.started.elapsed()
+    }
+}
+
+/// A request that is owed an answer or has attempts out.
+struct Open {
+    payload: Rc<Payload>,
+    /// `None` once the answer is given or the client has gone.
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Attempt>,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Instant,
+    /// `None` once its end has been told.
+    task: Option<AbortHandle>,
+    timed_out: bool,
+}
+
+/// What has happened since the start.
+#[derive(Default)]
+struct Figures {
+    taken: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    gone: u64,
+    sends: u64,
+    /// Ends of attempts, by outcome.
+    ends: [u64; 8],
+}
+
+pub struct Node {
+    balancer: Balancer,
+    clock: Clock,
+    backends: Rc<Backends>,
+    events: mpsc::UnboundedSender<NodeEvent>,
+    open: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(Duration, u64, u64)>>,
+    timers_set: u64,
+    /// Whether there has been a list with a backend on it.
+    ready: Rc<Cell<bool>>,
+    figures: Figures,
+}
+
+impl Node {
+    pub fn new(
+        balancer: Balancer,
+        backends: Rc<Backends>,
+        events: mpsc::UnboundedSender<NodeEvent>,
+        ready: Rc<Cell<bool>>,
+    ) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::from_secs(1));
+        Node {
+            balancer,
+            clock: Clock { started: Instant::now(), unix },
+            backends,
+            events,
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            timers_set: 0,
+            ready,
+            figures: Figures::default(),
+        }
+    }
+
+    /// Runs until there is nobody left to tell it anything.
+    pub async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<NodeEvent>,
+        mut lists: mpsc::Receiver<Update>,
+        known: Option<Update>,
+    ) {
+        if let Some(known) = known {
+            self.list(known);
+        }
+        let mut figures = tokio::time::interval(FIGURES_EVERY);
+        let mut prune = tokio::time::interval(PRUNE_EVERY);
+        loop {
+            self.ring();
+            let due = self.timers.peek().map(|Reverse((at, ..))| *at);
+            let due = due.map(|at| self.clock.started + at.saturating_sub(self.clock.unix));
+            tokio::select! {
+                biased;
+                Some(update) = lists.recv() => self.list(update),
+                event = events.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return,
+                },
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
+                _ = prune.tick() => self.backends.prune(),
+                _ = figures.tick() => self.log_figures(),
+            }
+        }
+    }
+
+    fn list(&mut self, update: Update) {
+        self.backends.apply(&update);
+        if !update.entries.is_empty() {
+            self.ready.set(true);
+        }
+        let entries = update.entries.into_iter().map(|(entry, _)| entry).collect();
+        self.tell(Event::List { kind: update.kind, version: update.version, entries });
+    }
+
+    /// Tells the timers that are due. None is told early: the module would pass over it and wait for ever.
+    fn ring(&mut self) {
+        while let Some(Reverse((_, _, token))) =
+            self.timers.peek().filter(|t| t.0.0 <= self.clock.now()).copied()
+        {
+            self.timers.pop();
+            self.tell(Event::Timer { token });
+        }
+    }
+
+    fn take(&mut self, event: NodeEvent) {
+        match event {
+            NodeEvent::Arrived(arrival) => {
+                self.figures.taken += 1;
+                let (id, mut new) = (arrival.new.id, arrival.new);
+                new.remaining = new.remaining.saturating_sub(arrival.at.elapsed());
+                let open =
+                    Open { payload: arrival.payload, answer: Some(arrival.answer), attempts: Vec::new() };
+                self.open.insert(id, open);
+                self.tell(Event::Request(new));
+            }
+            NodeEvent::Gone(id) => {
+                if let Some(answer) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
+                    drop(answer);
+                    self.figures.gone += 1;
+                    self.tell(Event::ClientGone { id });
+                    self.forget(id);
+                }
+            }
+            NodeEvent::AttemptEnded { id, attempt, ended } => self.attempt_ended(id, attempt, ended),
+            NodeEvent::Probed { server, elapsed, ended } => {
+                let Ended { outcome, report, .. } = ended;
+                self.tell(Event::Probed(ProbeEnd { server, outcome, elapsed, report }));
+            }
+        }
+    }
+
+    /// Each send ends once: what comes after a cancel has been told is passed over.
+    fn attempt_ended(&mut self, id: RequestId, number: u32, ended: Ended) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.get_mut(number as usize) else { return };
+        if attempt.task.take().is_none() {
+            return;
+        }
+        let Ended { outcome, report, reply } = ended;
+        attempt.timed_out = outcome == Outcome::TimedOut;
+        let (server, elapsed) = (attempt.server, attempt.sent.elapsed());
+        if let Some(reply) = reply {
+            if let Some(answer) = open.answer.take() {
+                self.figures.served += 1;
+                // A client that has left meanwhile is told of by its own event, which then finds nothing owed.
+                let _ = answer.send(Answer::Served(reply));
+            }
+        }
+        let finished = open.answer.is_none();
+        self.figures.ends[outcome as usize] += 1;
+        self.tell(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt: number,
+            server,
+            outcome,
+            elapsed,
+            finished,
+            report,
+        }));
+        self.forget(id);
+    }
+
+    /// Lets go of a request that is owed nothing and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.task.is_none());
+        if self.open.get(&id).is_some_and(over) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Lets the module decide, and does what it says. What that brings about at once is told afterwards.
+    fn tell(&mut self, event: Event) {
+        let mut news = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = news.pop_front() {
+            let ended = if let Event::AttemptEnded(end) = &event { Some(end.id) } else { None };
+            self.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { id, server, timeout } => {
+                        send(&mut self.open, &self.backends, &self.events, (id, server, timeout), &mut news);
+                        self.figures.sends += 1;
+                    }
+                    Action::Refuse { id, retry_after } => {
+                        if let Some(answer) = take_answer(&mut self.open, id) {
+                            self.figures.refused += 1;
+                            let _ = answer.send(Answer::Refused { retry_after });
+                        }
+                    }
+                    Action::Fail { id } => {
+                        let out = |a: &Attempt| a.timed_out || a.task.is_some();
+                        let timed_out = self.open.get(&id).is_some_and(|open| open.attempts.iter().any(out));
+                        if let Some(answer) = take_answer(&mut self.open, id) {
+                            self.figures.failed += 1;
+                            let _ = answer.send(Answer::Failed { timed_out });
+                        }
+                    }
+                    Action::Cancel { id, attempt } => {
+                        let Some(open) = self.open.get_mut(&id) else { continue };
+                        let Some(ended) = open.attempts.get_mut(attempt as usize) else { continue };
+                        let Some(task) = ended.task.take() else { continue };
+                        task.abort();
+                        let outcome = Outcome::Cancelled;
+                        self.figures.ends[outcome as usize] += 1;
+                        news.push_back(Event::AttemptEnded(AttemptEnd {
+                            id,
+                            attempt,
+                            server: ended.server,
+                            outcome,
+                            elapsed: ended.sent.elapsed(),
+                            finished: open.answer.is_none(),
+                            report: None,
+                        }));
+                    }
+                    Action::SetTimer { after, token } => {
+                        self.timers_set += 1;
+                        self.timers.push(Reverse((self.clock.now() + after, self.timers_set, token)));
+                    }
+                    Action::Probe { server } => {
+                        let (backends, events) = (self.backends.clone(), self.events.clone());
+                        spawn_local(async move {
+                            let sent = Instant::now();
+                            let ended = backends.probe(server).await;
+                            let _ = events.send(NodeEvent::Probed { server, elapsed: sent.elapsed(), ended });
+                        });
+                    }
+                    Action::CloseIdle { server } => self.backends.close_idle(server),
+                    Action::Log { text } => info!("module: {text}"),
+                    // The settings of this node have pushed lists and no messages between nodes.
+                    Action::Subscribe { .. } | Action::FetchList | Action::Tell { .. } => {
+                        debug!("not provided here: {action:?}")
+                    }
+                }
+            }
+            if let Some(id) = ended {
+                self.forget(id);
+            }
+        }
+    }
+
+    fn log_figures(&self) {
+        let (f, counters) = (&self.figures, &self.backends.counters);
+        let [served, error, rejected, timed_out, connect_failed, reset, cancelled, not_sent] = f.ends;
+        info!(
+            "taken {} served {} refused {} failed {} gone {} open {} | sends {} served {served} error {error} \
+             rejected {rejected} timed_out {timed_out} connect_failed {connect_failed} reset {reset} \
+             cancelled {cancelled} not_sent {not_sent} | connections {} opened {} refused {} stale {}",
+            f.taken,
+            f.served,
+            f.refused,
+            f.failed,
+            f.gone,
+            self.open.len(),
+            f.sends,
+            self.backends.open(),
+            counters.opened.get(),
+            counters.refused.get(),
+            counters.stale.get(),
+        );
+    }
+}
+
+fn take_answer(open: &mut HashMap<RequestId, Open>, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+    let open_request = open.get_mut(&id)?;
+    let answer = open_request.answer.take();
+    if open_request.attempts.iter().all(|a| a.task.is_none()) {
+        open.remove(&id);
+    }
+    answer
+}
+
+/// Starts an attempt as a task of its own, whose end comes back as an event. Nothing is sent for a request that has
+/// its answer: the module is told so.
+fn send(
+    open: &mut HashMap<RequestId, Open>,
+    backends: &Rc<Backends>,
+    events: &mpsc::UnboundedSender<NodeEvent>,
+    (id, server, within): (RequestId, ServerId, Duration),
+    news: &mut VecDeque<Event>,
+) {
+    let Some(request) = open.get_mut(&id) else { return };
+    let (sent, attempt) = (Instant::now(), request.attempts.len() as u32);
+    if request.answer.is_none() {
+        request.attempts.push(Attempt { server, sent, task: None, timed_out: false });
+        return news.push_back(Event::AttemptEnded(AttemptEnd {
+            id,
+            attempt,
+            server,
+            outcome: Outcome::NotSent,
+            elapsed: Duration::ZERO,
+            finished: true,
+            report: None,
+        }));
+    }
+    let (backends, events, payload) = (backends.clone(), events.clone(), request.payload.clone());
+    let task = spawn_local(async move {
+        let ended = backends.attempt(server, &payload, sent + within).await;
+        let _ = events.send(NodeEvent::AttemptEnded { id, attempt, ended });
+    });
+    request.attempts.push(Attempt { server, sent, task: Some(task.abort_handle()), timed_out: false });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod balance;
 mod interface;
+pub mod settings;
 mod state;
 
 pub use balance::Balancer;
--- a/src/bin/larchspread-drill/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
-//! The settings text of a `spawn`: JSON in the wire's words, turned into the module's [`Settings`].
+//! The settings that a node is given: JSON in the wire's words, turned into the module's [`Settings`] and what its
+//! host needs besides. The adapter reads them from a `spawn`, the node from its configuration.
 
-use larchspread::{Class, Goal, Limits, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant};
+use crate::{Class, Goal, Limits, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -8,12 +9,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Column {
+    /// Requests that the server holds.
     Concurrent,
+    /// Requests waiting in its queue.
     Depth,
+    /// The fraction of its processors in use.
     LoadShare,
+    /// Its recent service time in milliseconds.
     MeanMs,
+    /// Requests it serves in a second.
     Tps,
+    /// Its errors in a second.
     ErrPs,
+    /// A column that came up later.
     #[serde(other)]
     Unknown,
 }
@@ -63,6 +71,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct RawClass {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     aim_stretch: f64,
     target: f64,
@@ -83,6 +93,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct RawTenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     allowance_per_s: f64,
     #[serde(default)]
@@ -102,6 +114,7 @@
     attempts_cap: u32,
     cancel: bool,
     connect_timeout: f64,
+    idle_close: f64,
     max_retry_after: f64,
     parallel_tries: bool,
     probes: bool,
@@ -114,6 +127,7 @@
             attempts_cap: 1,
             cancel: false,
             connect_timeout: 250.0,
+            idle_close: 15_000.0,
             max_retry_after: 0.0,
             parallel_tries: false,
             probes: false,
@@ -175,6 +189,10 @@
     zone: u8,
     classes: Vec<RawClass>,
     #[serde(default)]
+    localities: Vec<String>,
+    #[serde(default)]
+    host_types: Vec<String>,
+    #[serde(default)]
     projects: Vec<RawTenant>,
     #[serde(default = "one")]
     over_share_worth: f64,
@@ -210,9 +228,29 @@
     Duration::from_micros((ms * 1000.0).round().clamp(0.0, LONGEST_US) as u64)
 }
 
-/// Reads the settings, and which value of a load report is which.
-pub fn parse(text: &[u8]) -> Result<(Settings, Vec<Column>), String> {
-    let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("bad settings: {e}"))?;
+/// What the settings say that the module does not need, but its host does.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HostSettings {
+    /// A load report's columns, in the order of their values.
+    pub columns: Vec<Column>,
+    /// The names of the classes, in the order in which events name them by number.
+    pub classes: Vec<String>,
+    /// The names of the tenants, likewise.
+    pub tenants: Vec<String>,
+    /// The names of the zones, likewise.
+    pub zones: Vec<String>,
+    /// The names of the machine kinds, likewise.
+    pub kinds: Vec<String>,
+    /// After this time a server closes a connection that stands idle.
+    pub idle_close: Duration,
+}
+
+/// Reads the settings. An error names the field and what is wrong with it.
+pub fn parse(text: &[u8]) -> Result<(Settings, HostSettings), String> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let raw: Raw = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| format!("bad settings: {}, in {}", e.inner(), e.path()))?;
+    json.end().map_err(|e| format!("bad settings: {e}"))?;
     if raw.classes.is_empty() {
         return Err("bad settings: no classes".into());
     }
@@ -250,7 +288,15 @@
         list_on_request: matches!(raw.registry_mode, Mode::Ask),
         tick: millis(raw.quantum),
     };
-    Ok((settings, raw.load_report.columns))
+    let host = HostSettings {
+        columns: raw.load_report.columns,
+        classes: raw.classes.into_iter().map(|c| c.name).collect(),
+        tenants: raw.projects.into_iter().map(|t| t.name).collect(),
+        zones: raw.localities,
+        kinds: raw.host_types,
+        idle_close: millis(raw.permissions.idle_close),
+    };
+    Ok((settings, host))
 }
 
 fn class(raw: &RawClass) -> Class {
