Be ready only after discovery's first word; pass over an older list in the connections too

Now it waits for the first line, 0.5 s at most. And Node::list gave the connections a list that the module passes over as older, after which its sends would find no address. Tests for both, for idle connections, and for a backend that moves.

--- a/src/bin/marlwinch/backends.rs
+++ b/src/bin/marlwinch/backends.rs
@@ -156,6 +156,11 @@
         self.open.get()
     }
 
+    /// Whether there is a backend on the list.
+    pub fn any(&self) -> bool {
+        !self.pools.borrow().is_empty()
+    }
+
     /// Takes in a change of the list: addresses, and whose idle connections are of no more use.
     pub fn apply(&self, update: &Update) {
         let mut pools = self.pools.borrow_mut();
--- a/src/bin/marlwinch/clients.rs
+++ b/src/bin/marlwinch/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: connections that are taken, requests that become events, final answers that go back.
 
 use crate::backends::{CORRELATION, LARGEST_BODY, LARGEST_HEAD, Payload, Reply, TIME_LEFT};
+use crate::logging;
 use crate::node::{Answer, Arrival, NodeEvent};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -55,6 +56,7 @@
 pub struct Connections {
     next: Cell<u64>,
     open: RefCell<HashMap<u64, Rc<State>>>,
+    not_taken: logging::Limited,
 }
 
 /// What is known of a connection from outside its task.
@@ -138,7 +140,7 @@
         match listener.accept().await {
             Ok((stream, _)) => return (stream, permit),
             Err(e) => {
-                debug!("accept: {e}");
+                clients.connections.not_taken.warn(|| format!("a client's connection was not taken: {e}"));
                 sleep(Duration::from_millis(10)).await;
             }
         }
--- a/src/bin/marlwinch/node.rs
+++ b/src/bin/marlwinch/node.rs
@@ -3,19 +3,25 @@
 
 use crate::backends::{Backends, Ended, Payload, Reply};
 use crate::discovery::Update;
-use larchspread::{Action, AttemptEnd, Balancer, Event, NewRequest, Outcome, ProbeEnd, RequestId, ServerId};
-use log::{debug, info};
+use larchspread::{
+    Action, AttemptEnd, Balancer, Event, ListKind, NewRequest, Outcome, ProbeEnd, RequestId, ServerId,
+};
+use log::{debug, info, warn};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// How often the figures of the node go to the log, and idle connections are looked at.
 const FIGURES_EVERY: Duration = Duration::from_secs(10);
+/// How long the node waits for discovery's first word before it is ready with the list it was started with: what that
+/// still names may drain or be gone by now.
+const FIRST_WORD: Duration = Duration::from_millis(500);
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 
 /// A client's request as it goes to the module, with what carries it out.
@@ -95,8 +101,9 @@
     open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Duration, u64, u64)>>,
     timers_set: u64,
-    /// Whether there has been a list with a backend on it.
+    /// Whether there is a backend to send to, by a list that is not only the one from before the start.
     ready: Rc<Cell<bool>>,
+    version: u32,
     figures: Figures,
 }
 
@@ -117,6 +124,7 @@
             timers: BinaryHeap::new(),
             timers_set: 0,
             ready,
+            version: 0,
             figures: Figures::default(),
         }
     }
@@ -128,9 +136,12 @@
         mut lists: mpsc::Receiver<Update>,
         known: Option<Update>,
     ) {
+        let mut has_known = false;
         if let Some(known) = known {
+            has_known = !known.entries.is_empty();
             self.list(known);
         }
+        let mut first_word = pin!(sleep(FIRST_WORD));
         let mut figures = tokio::time::interval(FIGURES_EVERY);
         let mut prune = tokio::time::interval(PRUNE_EVERY);
         loop {
@@ -145,15 +156,25 @@
                     None => return,
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
+                () = &mut first_word, if has_known && !self.ready.get() => self.ready.set(true),
                 _ = prune.tick() => self.backends.prune(),
                 _ = figures.tick() => self.log_figures(),
             }
         }
     }
 
+    /// Takes in a list. One that is older than the last is passed over, as the module would: else the connections
+    /// would know other backends than the module does.
     fn list(&mut self, update: Update) {
+        if update.version < self.version {
+            return warn!(
+                "discovery: generation {} is older than {}, passed over",
+                update.version, self.version
+            );
+        }
+        self.version = update.version;
         self.backends.apply(&update);
-        if !update.entries.is_empty() {
+        if update.kind != ListKind::Cached && self.backends.any() {
             self.ready.set(true);
         }
         let entries = update.entries.into_iter().map(|(entry, _)| entry).collect();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -412,24 +412,93 @@
     drop(crowd);
 }
 
+/// Asks a node whether it is ready until it is.
+fn wait_until_ready(client: &mut Peer) {
+    let begun = std::time::Instant::now();
+    while !is_ready(client) {
+        assert!(begun.elapsed() < LONG, "never ready");
+    }
+}
+
+fn is_ready(client: &mut Peer) -> bool {
+    client.write("GET /ready HTTP/1.1\r\nHost: n\r\n\r\n");
+    client.read().status() == 200
+}
+
 #[test]
 fn ready_is_answered_once_a_backend_is_known() {
     let discovery = Listener::new();
     let node = Node::start(&config(discovery.address(), &list(0, true, &[]), |_| {}));
     let mut client = node.client();
-    let ask = "GET /ready HTTP/1.1\r\nHost: n\r\n\r\n";
-    client.write(ask);
-    assert_eq!(client.read().status(), 503);
+    assert!(!is_ready(&mut client));
     let mut watch = discovery.accept();
     watch.read();
     watch.begin_watch();
     watch.line(&list(1, true, &[("s-1", discovery.address(), "east", "in_service")]));
-    let begun = std::time::Instant::now();
-    loop {
-        client.write(ask);
-        if client.read().status() == 200 {
-            break;
-        }
-        assert!(begun.elapsed() < LONG, "never ready");
-    }
+    wait_until_ready(&mut client);
+}
+
+/// The list from before a restart may be old, but with discovery silent there is no better one.
+#[test]
+fn a_node_is_ready_with_the_list_it_was_started_with_when_discovery_is_silent() {
+    let backend = Listener::new();
+    let (node, discovery) = node_with(&[&backend]);
+    let _silent = discovery.accept();
+    wait_until_ready(&mut node.client());
+}
+
+#[test]
+fn an_older_list_is_passed_over_by_the_connections_too() {
+    let backend = Listener::new();
+    let (node, discovery) = node_with(&[&backend]);
+    let mut watch = discovery.accept();
+    watch.read();
+    watch.begin_watch();
+    watch.line(&list(40, true, &[]));
+    node.logged("older than");
+    let mut client = node.client();
+    client.request("correct", "", "x");
+    let mut peer = backend.accept();
+    peer.read();
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+}
+
+/// A write to a connection that the backend is about to close is a request that may have run.
+#[test]
+fn an_idle_connection_is_closed_before_the_backend_would() {
+    let (backend, discovery) = (Listener::new(), Listener::new());
+    let known = list(1, true, &[("s-1", backend.address(), "east", "in_service")]);
+    let change = |c: &mut serde_json::Value| c["settings"]["Permissions"]["IdleClose"] = 2000.0.into();
+    let node = Node::start(&config(discovery.address(), &known, change));
+    let mut client = node.client();
+    client.request("correct", "", "x");
+    let mut peer = backend.accept();
+    peer.read();
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+    peer.expect_end();
+}
+
+/// A backend that moves keeps its number, and its new address is used at once.
+#[test]
+fn a_backend_that_changes_its_address_is_met_there() {
+    let (old, new) = (Listener::new(), Listener::new());
+    let (node, discovery) = node_with(&[&old]);
+    let mut watch = discovery.accept();
+    watch.read();
+    watch.begin_watch();
+    let mut client = node.client();
+    client.request("correct", "", "x");
+    let mut peer = old.accept();
+    peer.read();
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+    watch.line(&list(42, false, &[("s-1", new.address(), "east", "in_service")]));
+    peer.expect_end();
+    client.request("correct", "", "x");
+    let mut peer = new.accept();
+    peer.read();
+    peer.answer("200 OK", "", "moved");
+    assert_eq!(client.read().body, b"moved");
 }
