--- a/src/bin/marlwinch/backends.rs
+++ b/src/bin/marlwinch/backends.rs
@@ -290,8 +290,9 @@
         mut connection: Connection,
         answer: Response<Incoming>,
     ) -> Ended {
-        let (head, body) = answer.into_parts();
-        let report = head.headers.get(LOAD).and_then(|value| self.report(value.as_bytes()));
+        let (mut head, body) = answer.into_parts();
+        // The report is for this node and goes no further.
+        let report = head.headers.remove(LOAD).and_then(|value| self.report(value.as_bytes()));
         let body = match LimitedBody::new(body, LARGEST_BODY).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) => {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -54,7 +54,7 @@
     peer.answer("200 OK", "X-Backend-Load: inflight=1,queue=0\r\nContent-Type: text/plain\r\n", "counted");
     let answer = client.read();
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"counted"[..]));
-    assert_eq!(answer.header("content-type"), Some("text/plain"));
+    assert_eq!((answer.header("content-type"), answer.header("x-backend-load")), (Some("text/plain"), None));
     // The next one takes the same connection on both sides.
     client.request("look", "", "");
     assert_eq!(peer.read().first, "GET /look/7f3a?x=1 HTTP/1.1");
