--- a/tests/node.rs
+++ b/tests/node.rs
@@ -22,6 +22,32 @@
     (node, discovery)
 }
 
+/// Lets a client's unsafe request be served on this connection of a backend.
+fn serve_on(peer: &mut Peer, client: &mut Peer) {
+    client.request("correct", "", "x");
+    peer.read();
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+}
+
+/// The same where the request must come on a new connection, which is returned.
+fn serve_anew(backend: &Listener, client: &mut Peer) -> Peer {
+    client.request("correct", "", "x");
+    let mut peer = backend.accept();
+    peer.read();
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+    peer
+}
+
+/// Takes the node's next watch, which must ask for what has come after this version, and begins to answer it.
+fn begin_watch(discovery: &Listener, from: u32) -> Peer {
+    let mut watch = discovery.accept();
+    assert_eq!(watch.read().first, format!("GET /v1/endpoints?watch=1&from={from} HTTP/1.1"));
+    watch.begin_watch();
+    watch
+}
+
 /// An address that refuses connections for as long as the socket is held: it is bound and does not listen, so that
 /// no other test is given its port.
 fn nobody() -> (socket2::Socket, SocketAddr) {
@@ -70,11 +96,10 @@
     let mut client = node.client();
     let mut peer: Option<Peer> = None;
     for _ in 0..4 {
-        client.request("correct", "", "x");
-        let peer = peer.get_or_insert_with(|| backend.accept());
-        peer.read();
-        peer.answer("200 OK", "", "done");
-        assert_eq!(client.read().status(), 200);
+        match &mut peer {
+            Some(peer) => serve_on(peer, &mut client),
+            None => peer = Some(serve_anew(&backend, &mut client)),
+        }
     }
 
     let (node, _discovery) = node_at(&[refusing], "east");
@@ -205,9 +230,7 @@
 fn nothing_new_goes_to_a_draining_backend_and_what_it_has_is_finished() {
     let (old, new) = (Listener::new(), Listener::new());
     let (node, discovery) = node_with(&[&old]);
-    let mut watch = discovery.accept();
-    assert_eq!(watch.read().first, "GET /v1/endpoints?watch=1&from=41 HTTP/1.1");
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 41);
     let (mut busy, mut idle) = (node.client(), node.client());
     busy.request("correct", "", "long");
     let mut working = old.accept();
@@ -227,11 +250,10 @@
     resting.expect_end();
     let mut fresh: Option<Peer> = None;
     for _ in 0..10 {
-        idle.request("correct", "", "x");
-        let peer = fresh.get_or_insert_with(|| new.accept());
-        peer.read();
-        peer.answer("200 OK", "", "done");
-        assert_eq!(idle.read().status(), 200);
+        match &mut fresh {
+            Some(peer) => serve_on(peer, &mut idle),
+            None => fresh = Some(serve_anew(&new, &mut idle)),
+        }
     }
     assert!(old.is_untouched());
     working.answer("200 OK", "", "finished");
@@ -242,9 +264,7 @@
 fn a_lost_or_silent_watch_is_reopened_from_where_it_was_and_the_list_stays() {
     let backend = Listener::new();
     let (node, discovery) = node_with(&[&backend]);
-    let mut watch = discovery.accept();
-    watch.read();
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 41);
     watch.line(&list(57, true, &[("s-1", backend.address(), "east", "in_service")]));
     drop(watch);
     let mut watch = discovery.accept();
@@ -252,28 +272,20 @@
     // Refused is lost as well.
     watch.answer("503 Service Unavailable", "", "");
     drop(watch);
-    let mut watch = discovery.accept();
-    assert_eq!(watch.read().first, "GET /v1/endpoints?watch=1&from=57 HTTP/1.1");
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 57);
     watch.line("");
     // From here it says nothing, and its connection stays.
     let mut next = discovery.accept();
     assert_eq!(next.read().first, "GET /v1/endpoints?watch=1&from=57 HTTP/1.1");
     let mut client = node.client();
-    client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
-    peer.answer("200 OK", "", "done");
-    assert_eq!(client.read().status(), 200);
+    serve_anew(&backend, &mut client);
 }
 
 #[test]
 fn bad_lines_of_discovery_and_bad_load_reports_are_skipped() {
     let (old, new) = (Listener::new(), Listener::new());
     let (mut node, discovery) = node_with(&[&old]);
-    let mut watch = discovery.accept();
-    watch.read();
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 41);
     watch.line("{\"generation\":");
     node.logged("line skipped");
     watch.line("[1, 2]");
@@ -404,11 +416,7 @@
     // More than the node has descriptors for, none of them with a request.
     let crowd: Vec<Peer> = (0..150).map(|_| node.client()).collect();
     let mut client = node.client();
-    client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
-    peer.answer("200 OK", "", "done");
-    assert_eq!(client.read().status(), 200);
+    serve_anew(&backend, &mut client);
     drop(crowd);
 }
 
@@ -431,9 +439,7 @@
     let node = Node::start(&config(discovery.address(), &list(0, true, &[]), |_| {}));
     let mut client = node.client();
     assert!(!is_ready(&mut client));
-    let mut watch = discovery.accept();
-    watch.read();
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 0);
     watch.line(&list(1, true, &[("s-1", discovery.address(), "east", "in_service")]));
     wait_until_ready(&mut client);
 }
@@ -451,17 +457,11 @@
 fn an_older_list_is_passed_over_by_the_connections_too() {
     let backend = Listener::new();
     let (node, discovery) = node_with(&[&backend]);
-    let mut watch = discovery.accept();
-    watch.read();
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 41);
     watch.line(&list(40, true, &[]));
     node.logged("older than");
     let mut client = node.client();
-    client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
-    peer.answer("200 OK", "", "done");
-    assert_eq!(client.read().status(), 200);
+    serve_anew(&backend, &mut client);
 }
 
 /// A write to a connection that the backend is about to close is a request that may have run.
@@ -472,11 +472,7 @@
     let change = |c: &mut serde_json::Value| c["settings"]["Permissions"]["IdleClose"] = 2000.0.into();
     let node = Node::start(&config(discovery.address(), &known, change));
     let mut client = node.client();
-    client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
-    peer.answer("200 OK", "", "done");
-    assert_eq!(client.read().status(), 200);
+    let mut peer = serve_anew(&backend, &mut client);
     peer.expect_end();
 }
 
@@ -485,15 +481,9 @@
 fn a_backend_that_changes_its_address_is_met_there() {
     let (old, new) = (Listener::new(), Listener::new());
     let (node, discovery) = node_with(&[&old]);
-    let mut watch = discovery.accept();
-    watch.read();
-    watch.begin_watch();
+    let mut watch = begin_watch(&discovery, 41);
     let mut client = node.client();
-    client.request("correct", "", "x");
-    let mut peer = old.accept();
-    peer.read();
-    peer.answer("200 OK", "", "done");
-    assert_eq!(client.read().status(), 200);
+    let mut peer = serve_anew(&old, &mut client);
     watch.line(&list(42, false, &[("s-1", new.address(), "east", "in_service")]));
     peer.expect_end();
     client.request("correct", "", "x");
