--- a/src/bin/marlwinch/backends.rs
+++ b/src/bin/marlwinch/backends.rs
@@ -118,16 +118,19 @@
     }
 }
 
-/// The task that moves a connection's bytes. Dropping it ends the task and with it closes the socket.
+/// A task that ends when this is dropped: one that moves a connection's bytes closes the socket with it.
 pub struct Driver(tokio::task::JoinHandle<()>);
 
 impl Driver {
-    pub fn spawn(connection: impl Future<Output = hyper::Result<()>> + 'static) -> Self {
-        Driver(tokio::task::spawn_local(async move {
+    pub fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
+        Driver(tokio::task::spawn_local(work))
+    }
+    pub fn of(connection: impl Future<Output = hyper::Result<()>> + 'static) -> Self {
+        Driver::spawn(async move {
             if let Err(e) = connection.await {
                 debug!("a connection ended: {e}");
             }
-        }))
+        })
     }
 }
 
@@ -364,7 +367,7 @@
         let io = TokioIo::new(Watched { stream, progress: progress.clone() });
         let (sender, driver) =
             http1::Builder::new().max_buf_size(LARGEST_HEAD).handshake(io).await.map_err(|e| failed(&e))?;
-        Ok(Connection { sender, progress, address, _driver: Driver::spawn(driver), _open: open })
+        Ok(Connection { sender, progress, address, _driver: Driver::of(driver), _open: open })
     }
 
     /// Makes room by closing the connection that has stood idle for longest.
--- a/src/bin/marlwinch/config.rs
+++ b/src/bin/marlwinch/config.rs
@@ -60,14 +60,15 @@
     sockets: usize,
 }
 
+/// Reads the file again and returns where discovery is now. Here the file wins over `ROUTER_DISCOVERY`, which can't
+/// change while the node runs; all else in it holds from the next start on. The file is checked whole.
+pub fn reread(variable: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, ConfigError> {
+    read(&variable).map(|config| config.discovery)
+}
+
 /// Reads the file that `ROUTER_CONFIG` names. The other variables say the same as its fields and win where set.
 pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    let path = variable("ROUTER_CONFIG").ok_or(ConfigError::Variable {
-        name: "ROUTER_CONFIG",
-        what: "not set; it names the configuration".into(),
-    })?;
-    let text = std::fs::read(&path).map_err(|source| ConfigError::Read { path: path.clone(), source })?;
-    let mut config = parse(&text).map_err(|what| ConfigError::Field { path, what })?;
+    let mut config = read(&variable)?;
     if let Some(name) = variable("ROUTER_NAME") {
         config.name = name;
     }
@@ -81,6 +82,15 @@
     Ok(config)
 }
 
+fn read(variable: &impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let path = variable("ROUTER_CONFIG").ok_or(ConfigError::Variable {
+        name: "ROUTER_CONFIG",
+        what: "not set; it names the configuration".into(),
+    })?;
+    let text = std::fs::read(&path).map_err(|source| ConfigError::Read { path: path.clone(), source })?;
+    parse(&text).map_err(|what| ConfigError::Field { path, what })
+}
+
 /// Reads the text of a configuration. An error names the field.
 fn parse(text: &[u8]) -> Result<Config, String> {
     let mut json = serde_json::Deserializer::from_slice(text);
@@ -102,7 +112,7 @@
     let known = match file.known {
         None | Some(serde_json::Value::Null) => None,
         Some(list) => {
-            let update = roster.read_value(list).map_err(|e| format!("known: {e}"))?;
+            let update = roster.read_value(list, false).map_err(|e| format!("known: {e}"))?;
             Some(Update { kind: ListKind::Cached, ..update })
         }
     };
--- a/src/bin/marlwinch/discovery.rs
+++ b/src/bin/marlwinch/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of backends: reading its lines, and the watch that brings them.
 
+use crate::backends::Driver;
 use crate::logging::Limited;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -8,9 +9,11 @@
 use larchspread::{ListKind, ServerEntry, ServerId, ServerState};
 use log::{debug, info};
 use serde::Deserialize;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -36,6 +39,10 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     last: HashMap<ServerId, (String, ServerEntry, SocketAddr)>,
+    /// The generation of the last list, by the numbers of the discovery that sent it.
+    generation: u32,
+    /// What is added to a generation for the version that the node is told, so that versions never run back.
+    ahead: u32,
     version: u32,
     bad: Limited,
 }
@@ -86,16 +93,25 @@
 
 impl Roster {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Self {
-        Roster { zones, kinds, last: HashMap::new(), version: 0, bad: Limited::default() }
+        Roster {
+            zones,
+            kinds,
+            last: HashMap::new(),
+            generation: 0,
+            ahead: 0,
+            version: 0,
+            bad: Limited::default(),
+        }
     }
 
     /// Reads a line of the watch. A bad line is an error and changes nothing.
-    fn read(&mut self, line: &[u8]) -> Result<Update, String> {
-        self.read_value(serde_json::from_slice(line).map_err(|e| e.to_string())?)
+    fn read(&mut self, line: &[u8], anew: bool) -> Result<Update, String> {
+        self.read_value(serde_json::from_slice(line).map_err(|e| e.to_string())?, anew)
     }
 
     /// Reads a list. A bad entry is logged and leaves its backend as it was, which in a whole list means listed.
-    pub fn read_value(&mut self, list: serde_json::Value) -> Result<Update, String> {
+    /// `anew` is the first list of another discovery, which counts as the newest whatever its number.
+    pub fn read_value(&mut self, list: serde_json::Value, anew: bool) -> Result<Update, String> {
         let list: RawList = serde_path_to_error::deserialize(list).map_err(|e| e.to_string())?;
         let mut entries = Vec::with_capacity(list.instances.len());
         for raw in list.instances {
@@ -115,9 +131,15 @@
             let listed: Vec<_> = entries.iter().map(|(entry, _)| entry.id).collect();
             self.last.retain(|id, _| listed.contains(id));
         }
-        self.version = self.version.max(list.generation);
+        if anew {
+            self.ahead = self.version.saturating_sub(list.generation);
+            self.generation = list.generation;
+        }
+        let version = list.generation.saturating_add(self.ahead);
+        self.generation = self.generation.max(list.generation);
+        self.version = self.version.max(version);
         let kind = if list.reset { ListKind::Full } else { ListKind::Changes };
-        Ok(Update { kind, version: list.generation, entries })
+        Ok(Update { kind, version, entries })
     }
 
     fn entry(&mut self, raw: RawEntry) -> Result<(ServerEntry, SocketAddr), String> {
@@ -175,41 +197,55 @@
 }
 
 /// Keeps a watch open for as long as the node runs, and hands on what it brings. Nothing that happens to the watch
-/// empties the list: the node goes on with what it has.
-pub async fn follow(address: SocketAddr, mut roster: Roster, updates: mpsc::Sender<Update>) {
+/// empties the list: the node goes on with what it has. Where this takes the place of another watch, that one goes on
+/// until the first list has come from here.
+pub async fn follow(
+    address: SocketAddr,
+    roster: Rc<RefCell<Roster>>,
+    updates: mpsc::Sender<Update>,
+    mut replaces: Option<Driver>,
+) {
+    let mut source = Source { address, roster, updates, joined: replaces.is_none() };
     let mut backoff = Duration::ZERO;
     let mut down = false;
     loop {
         let mut came = false;
-        let end = watch(address, &mut roster, &updates, &mut came).await;
-        if updates.is_closed() {
+        let end = watch(&mut source, &mut replaces, &mut came).await;
+        if source.updates.is_closed() {
             return;
         }
         // A lost watch is reopened at once; one that won't come up, after a pause that grows.
         backoff = if came { Duration::ZERO } else { (2 * backoff).clamp(FIRST_BACKOFF, LONGEST_BACKOFF) };
         if came || !down {
-            info!("discovery: watch from {} is over, {end}", roster.version);
+            info!("discovery: watch of {address} from {} is over, {end}", source.roster.borrow().generation);
         } else {
-            debug!("discovery: still no watch, {end}");
+            debug!("discovery: still no watch of {address}, {end}");
         }
         down = !came;
         tokio::time::sleep(backoff).await;
     }
 }
 
-async fn watch(
+/// Where a watch gets its lists from, and where they go.
+struct Source {
     address: SocketAddr,
-    roster: &mut Roster,
-    updates: &mpsc::Sender<Update>,
-    came: &mut bool,
-) -> WatchEnd {
+    roster: Rc<RefCell<Roster>>,
+    updates: mpsc::Sender<Update>,
+    /// Whether a list has come from here. Until then its generations are not known to go on from the roster's.
+    joined: bool,
+}
+
+async fn watch(source: &mut Source, replaces: &mut Option<Driver>, came: &mut bool) -> WatchEnd {
+    let (address, updates) = (source.address, source.updates.clone());
+    // Another discovery may number its lists in its own way: it is asked for the whole list.
+    let from = if source.joined { source.roster.borrow().generation } else { 0 };
     let opened = timeout(SILENCE, async {
         let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
         let io = TokioIo::new(stream);
         let (mut sender, connection) =
             hyper::client::conn::http1::handshake(io).await.map_err(|e| e.to_string())?;
-        let driver = crate::backends::Driver::spawn(connection);
-        let request = Request::get(format!("/v1/endpoints?watch=1&from={}", roster.version))
+        let driver = Driver::of(connection);
+        let request = Request::get(format!("/v1/endpoints?watch=1&from={from}"))
             .header(header::HOST, address.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|e| e.to_string())?;
@@ -240,14 +276,17 @@
             if line.trim_ascii().is_empty() {
                 continue;
             }
-            match roster.read(&line) {
+            let read = source.roster.borrow_mut().read(&line, !source.joined);
+            match read {
                 Ok(update) => {
                     debug!("discovery: {update:?}");
+                    source.joined = true;
+                    *replaces = None;
                     if updates.send(update).await.is_err() {
                         return WatchEnd::Ended("the node ends".into());
                     }
                 }
-                Err(what) => roster.bad.warn(|| format!("discovery: line skipped: {what}")),
+                Err(what) => source.roster.borrow().bad.warn(|| format!("discovery: line skipped: {what}")),
             }
         }
         if pending.len() > LONGEST_LINE {
@@ -265,7 +304,7 @@
 
     fn read(roster: &mut Roster, reset: bool, entry: &str) -> Vec<(ServerEntry, SocketAddr)> {
         let line = format!(r#"{{"generation":41,"reset":{reset},"instances":[{entry}]}}"#);
-        roster.read(line.as_bytes()).expect("a list").entries
+        roster.read(line.as_bytes(), false).expect("a list").entries
     }
 
     #[test]
@@ -312,7 +351,7 @@
             r#"{"generation":1,"instances":7}"#,
             "\u{0}",
         ] {
-            assert!(roster.read(line.as_bytes()).is_err(), "{line}");
+            assert!(roster.read(line.as_bytes(), false).is_err(), "{line}");
         }
     }
 }
--- a/src/bin/marlwinch/main.rs
+++ b/src/bin/marlwinch/main.rs
@@ -9,13 +9,13 @@
 mod logging;
 mod node;
 
-use backends::Backends;
+use backends::{Backends, Driver};
 use clients::{Clients, Connections};
 use config::Config;
 use larchspread::Balancer;
 use log::{error, info};
 use node::Node;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -55,7 +55,9 @@
 
 /// Runs the node until SIGTERM and all is answered.
 async fn run(config: Config) -> Result<(), String> {
+    // Before anything else: a signal that nobody handles ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
     // Half of the descriptors for clients; half of the memory, too.
     let sockets = config.sockets - KEPT_FREE;
@@ -76,7 +78,24 @@
     let balancer = Balancer::new(config.settings.clone(), config.seed);
     let node = Node::new(balancer, backends, events.clone(), ready.clone());
     let node = spawn_local(node.run(events_out, lists_out, config.known));
-    spawn_local(discovery::follow(config.discovery, config.roster, lists));
+    let (roster, mut discovery) = (Rc::new(RefCell::new(config.roster)), config.discovery);
+    let mut watch = Driver::spawn(discovery::follow(discovery, roster.clone(), lists.clone(), None));
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match config::reread(|name| std::env::var(name).ok()) {
+                Ok(address) if address == discovery => {
+                    info!("told to read the configuration again: no change")
+                }
+                Ok(address) => {
+                    info!("told to read the configuration again: discovery is at {address}");
+                    discovery = address;
+                    let replaced = |old| discovery::follow(address, roster.clone(), lists.clone(), Some(old));
+                    watch = Driver::spawn(replaced(watch));
+                }
+                Err(e) => error!("told to read the configuration again, and going on with the old one: {e}"),
+            }
+        }
+    });
     let clients = Rc::new(Clients {
         settings: config.settings,
         host,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -492,3 +492,48 @@
     peer.answer("200 OK", "", "moved");
     assert_eq!(client.read().body, b"moved");
 }
+
+/// The file wins over `ROUTER_DISCOVERY` then. The other discovery counts its generations in its own way.
+#[test]
+fn sighup_brings_the_watch_to_the_discovery_that_the_file_names_now() {
+    let (old, new) = (Listener::new(), Listener::new());
+    let (before, after) = (Listener::new(), Listener::new());
+    let config_of = |discovery: &Listener| {
+        config(discovery.address(), &list(41, true, &[("s-1", old.address(), "east", "in_service")]), |_| {})
+    };
+    let mut node = Node::start_with(&config_of(&before), Some(before.address()));
+    let mut first = begin_watch(&before, 41);
+    first.line("");
+    let mut client = node.client();
+    let mut peer = serve_anew(&old, &mut client);
+    node.reload(&config_of(&after));
+    let mut watch = begin_watch(&after, 0);
+    // The old watch goes on until the first list comes from the new one.
+    first.line(&list(42, false, &[("s-1", old.address(), "east", "terminating")]));
+    peer.expect_end();
+    watch.line(&list(7, true, &[("s-2", new.address(), "east", "in_service")]));
+    first.expect_end();
+    let mut peer = serve_anew(&new, &mut client);
+    watch.line(&list(8, false, &[("s-2", new.address(), "east", "terminating")]));
+    peer.expect_end();
+    drop(watch);
+    // What it asks for after that is in the new numbers.
+    begin_watch(&after, 8);
+    assert!(node.is_running());
+}
+
+#[test]
+fn a_bad_file_at_sighup_leaves_all_as_it_was() {
+    let backend = Listener::new();
+    let (mut node, discovery) = node_with(&[&backend]);
+    let mut watch = begin_watch(&discovery, 41);
+    for (bad, named) in [("{", "EOF"), (r#"{"name":"n0"}"#, "listen")] {
+        node.reload(bad);
+        let line = node.logged("going on with the old one");
+        assert!(line.contains(named) && line.contains(".json"), "{line}");
+    }
+    watch.line(&list(42, false, &[("s-1", backend.address(), "east", "in_service")]));
+    let mut client = node.client();
+    serve_anew(&backend, &mut client);
+    assert!(node.is_running() && discovery.is_untouched());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
@@ -47,20 +48,27 @@
 /// A running node. It is killed when dropped.
 pub struct Node {
     child: Child,
+    file: PathBuf,
     pub address: SocketAddr,
     pub log: Receiver<String>,
 }
 
-/// Starts a node's process with this text as its configuration.
-fn spawn(config: &str) -> (Child, Receiver<String>) {
+/// Starts a node's process with this text as its configuration, which is left in the file returned, and perhaps with
+/// this value of `ROUTER_DISCOVERY`.
+fn spawn(config: &str, discovery: Option<SocketAddr>) -> (Child, PathBuf, Receiver<String>) {
     let unique = (std::process::id(), std::thread::current().id(), Instant::now());
     let path = std::env::temp_dir()
         .join(format!("marlwinch-{unique:?}.json").replace(['(', ')', ' ', '{', '}'], ""));
     std::fs::write(&path, config).expect("the configuration is written");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_marlwinch"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marlwinch"));
+    if let Some(discovery) = discovery {
+        command.env("ROUTER_DISCOVERY", discovery.to_string());
+    } else {
+        command.env_remove("ROUTER_DISCOVERY");
+    }
+    let mut child = command
         .env("ROUTER_CONFIG", &path)
         .env_remove("ROUTER_LISTEN")
-        .env_remove("ROUTER_DISCOVERY")
         .env_remove("ROUTER_NAME")
         .stderr(Stdio::piped())
         .spawn()
@@ -72,22 +80,27 @@
         while std::io::BufRead::read_line(&mut errors, &mut line).is_ok_and(|n| n > 0) {
             let _ = sender.send(std::mem::take(&mut line));
         }
-        let _ = std::fs::remove_file(path);
     });
-    (child, log)
+    (child, path, log)
 }
 
 /// Starts a node that can't run, and returns how it ended and all it said.
 pub fn fails_to_start(config: &str) -> (ExitStatus, Vec<String>) {
-    let (mut child, log) = spawn(config);
+    let (mut child, file, log) = spawn(config, None);
     let status = child.wait().expect("it ends");
+    let _ = std::fs::remove_file(file);
     (status, log.iter().collect())
 }
 
 impl Node {
     pub fn start(config: &str) -> Node {
-        let (child, log) = spawn(config);
-        let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), log };
+        Node::start_with(config, None)
+    }
+
+    /// The same with a value of `ROUTER_DISCOVERY`.
+    pub fn start_with(config: &str, discovery: Option<SocketAddr>) -> Node {
+        let (child, file, log) = spawn(config, discovery);
+        let mut node = Node { child, file, address: SocketAddr::from(([127, 0, 0, 1], 0)), log };
         let line = node.logged("listens on");
         let address = line.split("listens on ").nth(1).and_then(|rest| rest.split([':', ' ']).nth(1));
         node.address.set_port(address.and_then(|port| port.parse().ok()).expect("its port"));
@@ -110,7 +123,17 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let kill = Command::new("sh").args(["-c", &format!("kill -TERM {}", self.child.id())]).status();
+        self.signal("TERM");
+    }
+
+    /// Puts another text in place of the configuration and sends SIGHUP.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("the configuration is written");
+        self.signal("HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
         assert!(kill.expect("a shell").success());
     }
 
@@ -134,6 +157,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
