--- a/src/bin/marlwinch/backends.rs
+++ b/src/bin/marlwinch/backends.rs
@@ -2,9 +2,10 @@
 
 use crate::discovery::Update;
 use crate::logging::Limited;
+use crate::watched::{Progress, Watched};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited as LimitedBody};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited as LimitedBody};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -15,24 +16,24 @@
 use log::debug;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// The largest body, of a request or of an answer.
 pub const LARGEST_BODY: usize = 64 << 10;
 /// The largest head of a message. Bounds what hyper buffers for a connection.
 pub const LARGEST_HEAD: usize = 16 << 10;
-/// After an answer hyper needs one turn to make its connection ready; one that isn't by then is dropped.
-const TURN: Duration = Duration::from_millis(20);
+/// No backend holds as much: a larger or a negative figure is none, and must not pass for a sign of load or idleness.
+const MOST_LOAD: f32 = 1e6;
+/// How long a connection rests after an answer. What a backend sends right behind it has come by then and spoils the
+/// connection; later it could pass for the next answer.
+const REST: Duration = Duration::from_millis(3);
 
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
@@ -250,24 +251,42 @@
         let work = async {
             loop {
                 let (mut connection, reused) = match self.idle(server) {
-                    Some(connection) => (connection, true),
-                    None => match self.connect(server).await {
+                    Ok(connection) => (connection, true),
+                    // To wait for a connection that rests costs less than to open one.
+                    Err(Some(rested)) => {
+                        sleep_until(rested).await;
+                        continue;
+                    }
+                    Err(None) => match self.connect(server).await {
                         Ok(connection) => (connection, false),
                         Err(outcome) => return Ended::bare(outcome),
                     },
                 };
-                connection.progress.begin(body);
-                *progress.borrow_mut() = Some(connection.progress.clone());
-                match connection.sender.send_request(request()).await {
-                    Ok(answer) => return self.answered(server, connection, answer).await,
+                let watch = connection.progress.clone();
+                watch.begin(body);
+                *progress.borrow_mut() = Some(watch.clone());
+                let answer = tokio::select! {
+                    biased;
+                    answer = connection.sender.send_request(request()) => answer,
+                    () = watch.stalls(self.connect_timeout) => return self.spoilt(server, &"its head does not end"),
+                };
+                match answer {
+                    Ok(answer) => {
+                        return tokio::select! {
+                            biased;
+                            ended = self.answered(server, connection, answer) => ended,
+                            () = watch.stalls(self.connect_timeout) => self.spoilt(server, &"its body does not end"),
+                        };
+                    }
                     Err(e) => {
                         debug!("backend {server:?}: {e}");
-                        if connection.progress.is_complete() {
-                            return Ended::bare(Outcome::Reset);
+                        if watch.is_complete() {
+                            let spoilt = e.is_parse() || watch.is_flooded();
+                            return Ended::bare(if spoilt { Outcome::Error } else { Outcome::Reset });
                         }
                         // Not a byte was written: the connection had been closed while it stood idle. That is no
                         // attempt yet, so another connection carries it.
-                        if reused && connection.progress.is_untouched() {
+                        if reused && watch.is_untouched() {
                             self.counters.stale.set(self.counters.stale.get() + 1);
                             continue;
                         }
@@ -286,23 +305,31 @@
         }
     }
 
+    /// An answer that is none: the request may have run, and its connection is of no further use. The backend itself
+    /// is up, so this says less of its health than a connection that breaks.
+    fn spoilt(&self, server: ServerId, what: &dyn std::fmt::Display) -> Ended {
+        debug!("backend {server:?}: spoilt answer: {what}");
+        Ended::bare(Outcome::Error)
+    }
+
     /// Reads an answer to its end. Whatever is not understood is an outcome too: the request may have run.
-    async fn answered(
-        &self,
-        server: ServerId,
-        mut connection: Connection,
-        answer: Response<Incoming>,
-    ) -> Ended {
+    async fn answered(&self, server: ServerId, connection: Connection, answer: Response<Incoming>) -> Ended {
         let (mut head, body) = answer.into_parts();
         // The report is for this node and goes no further.
         let report = head.headers.remove(LOAD).and_then(|value| self.report(value.as_bytes()));
+        if let Err(what) = framed(&head.headers) {
+            return Ended { report, ..self.spoilt(server, &what) };
+        }
+        if body.size_hint().lower() > LARGEST_BODY as u64 {
+            return Ended { report, ..self.spoilt(server, &"too large") };
+        }
         let body = match LimitedBody::new(body, LARGEST_BODY).collect().await {
             Ok(body) => body.to_bytes(),
-            Err(e) => {
+            Err(e) if broke_off(e.as_ref()) => {
                 debug!("backend {server:?}: answer not whole: {e}");
-                let outcome = if e.is::<LengthLimitError>() { Outcome::Error } else { Outcome::Reset };
-                return Ended { outcome, report, reply: None };
+                return Ended { outcome: Outcome::Reset, report, reply: None };
             }
+            Err(e) => return Ended { report, ..self.spoilt(server, &e) },
         };
         let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|value| value == "1");
         let outcome = match head.status {
@@ -310,24 +337,27 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Rejected,
             _ => Outcome::Error,
         };
-        if connection.progress.is_complete()
-            && matches!(timeout(TURN, connection.sender.ready()).await, Ok(Ok(())))
-        {
+        if connection.progress.is_complete() && head.status != StatusCode::SWITCHING_PROTOCOLS {
             self.keep(server, connection);
         }
         let reply = (outcome == Outcome::Served).then_some(Reply { headers: head.headers, body });
         Ended { outcome, report, reply }
     }
 
-    fn idle(&self, server: ServerId) -> Option<Connection> {
+    /// An idle connection that has rested; else when the first will have, if there is one that rests.
+    fn idle(&self, server: ServerId) -> Result<Connection, Option<Instant>> {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(&server)?;
-        while let Some((connection, since)) = pool.idle.pop() {
-            if connection.sender.is_ready() && since.elapsed() < self.idle_after {
-                return Some(connection);
-            }
+        let pool = pools.get_mut(&server).ok_or(None)?;
+        pool.idle.retain(|(connection, since)| {
+            !connection.sender.is_closed() && since.elapsed() < self.idle_after
+        });
+        let rested = |(connection, since): &(Connection, Instant)| {
+            since.elapsed() >= REST && connection.sender.is_ready()
+        };
+        match pool.idle.iter().rposition(rested) {
+            Some(at) => Ok(pool.idle.remove(at).0),
+            None => Err(pool.idle.iter().map(|(_, since)| *since + REST).find(|at| *at > Instant::now())),
         }
-        None
     }
 
     /// Keeps a connection for the next attempt, unless none is to come.
@@ -388,12 +418,13 @@
     }
 }
 
-/// The figures of a load report, in the settings' words for them; `None` if one of them is no number or there is none.
+/// The figures of a load report, in the settings' words for them; `None` if one of them is no such number or there is
+/// none.
 fn load_report(text: &str, columns: &[Column]) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for pair in text.split(',') {
         let (name, value) = pair.split_once('=')?;
-        let value: f32 = value.trim().parse().ok().filter(|value: &f32| value.is_finite())?;
+        let value: f32 = value.trim().parse().ok().filter(|value| (0.0..MOST_LOAD).contains(value))?;
         let column = Column::named(name.trim());
         if columns.contains(&column) {
             column.set(&mut report, value);
@@ -402,107 +433,35 @@
     (report != LoadReport::default()).then_some(report)
 }
 
-/// How much of the request in hand has been written to a connection. hyper writes out of sight of its caller, and
-/// whether a request may have run depends on whether its last byte was written.
-#[derive(Default)]
-struct Progress {
-    body: Cell<usize>,
-    /// How much of the blank line that ends the head has come, 4 once it is over; body bytes after that.
-    blank_line: Cell<usize>,
-    body_written: Cell<usize>,
-    touched: Cell<bool>,
+/// Whether an answer says in one way only where it ends: with one length, or in chunks. One that ends with its
+/// connection can't be told from one that was cut short.
+fn framed(headers: &HeaderMap) -> Result<(), String> {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().map(|l| (true, l));
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().map(|c| (false, c));
+    let mut said = lengths.chain(codings);
+    let good = match said.next() {
+        Some((true, length)) => length.as_bytes().iter().all(u8::is_ascii_digit),
+        Some((false, coding)) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        None => false,
+    };
+    if good && said.next().is_none() { Ok(()) } else { Err("where it ends is not said, or twice".into()) }
 }
 
-impl Progress {
-    fn begin(&self, body: usize) {
-        self.body.set(body);
-        self.blank_line.set(0);
-        self.body_written.set(0);
-        self.touched.set(false);
-    }
-    fn written(&self, bytes: &[u8]) {
-        self.touched.set(self.touched.get() || !bytes.is_empty());
-        for (i, byte) in bytes.iter().enumerate() {
-            if self.blank_line.get() == 4 {
-                return self.body_written.set(self.body_written.get() + bytes.len() - i);
-            }
-            let next = match (self.blank_line.get(), byte) {
-                (0 | 2, b'\r') | (1 | 3, b'\n') => self.blank_line.get() + 1,
-                (_, b'\r') => 1,
-                _ => 0,
-            };
-            self.blank_line.set(next);
+/// Whether a body ended because its connection did.
+fn broke_off(e: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(e);
+    while let Some(e) = cause {
+        if let Some(e) = e.downcast_ref::<io::Error>() {
+            return !matches!(e.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput);
         }
+        cause = e.source();
     }
-    fn is_untouched(&self) -> bool {
-        !self.touched.get()
-    }
-    fn is_complete(&self) -> bool {
-        self.blank_line.get() == 4 && self.body_written.get() >= self.body.get()
-    }
-}
-
-/// A backend's socket that tells what was written, and looks for the peer's close before a request's first byte: a
-/// write to a connection that the backend has left counts as a request that may have run.
-struct Watched {
-    stream: TcpStream,
-    progress: Rc<Progress>,
-}
-
-impl AsyncRead for Watched {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
-    }
-}
-
-impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if self.progress.is_untouched() {
-            // Asks the socket itself; the runtime may not have heard yet. Anything to read is out of turn.
-            match socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                _ => return Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
-            }
-        }
-        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        if let Poll::Ready(Ok(count)) = &written {
-            self.progress.written(&bytes[..*count]);
-        }
-        written
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
+    false
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::io::Write;
-    use std::task::Waker;
-
-    #[test]
-    fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
-        let text = b"POST /a HTTP/1.1\r\nX: \r\r\nY: 1\r\n\r\n\r\n\r\nbody";
-        let body = b"\r\n\r\nbody".len();
-        for cut in 1..text.len() {
-            let progress = Progress::default();
-            progress.begin(body);
-            assert!(progress.is_untouched());
-            for piece in text.chunks(cut) {
-                assert!(!progress.is_complete(), "cut at {cut}");
-                progress.written(piece);
-                assert!(!progress.is_untouched());
-            }
-            assert!(progress.is_complete(), "cut at {cut}");
-            progress.begin(body);
-            progress.written(&text[..text.len() - 1]);
-            assert!(!progress.is_complete(), "cut at {cut}");
-        }
-    }
 
     #[test]
     fn a_load_report_holds_what_the_settings_name_or_nothing() {
@@ -516,37 +475,12 @@
             "concurrent=",
             "concurrent=NaN",
             "concurrent=1,depth=inf",
+            "concurrent=-1",
+            "concurrent=1e9",
             "load_share=0.5",
             "concurrent=1,,",
         ] {
             assert_eq!(load_report(bad, &columns), None, "{bad}");
         }
     }
-
-    /// The peer's close or stray bytes count even while the runtime has not yet heard of them.
-    #[tokio::test]
-    async fn not_a_byte_is_written_to_a_connection_that_the_peer_has_left() {
-        for stray in [None, Some(b"HTTP/1.1 408 Request Timeout\r\n\r\n")] {
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
-            let (mut peer, _) = listener.accept().unwrap();
-            let progress = Rc::new(Progress::default());
-            let mut watched = Watched { stream, progress: progress.clone() };
-            let cx = &mut Context::from_waker(Waker::noop());
-            progress.begin(0);
-            assert!(matches!(Pin::new(&mut watched).poll_write(cx, b"GET"), Poll::Ready(Ok(3))));
-            let mut read = [0; 3];
-            io::Read::read_exact(&mut peer, &mut read).unwrap();
-            if let Some(stray) = stray {
-                peer.write_all(stray).unwrap();
-            } else {
-                drop(peer);
-            }
-            // Waits for it without the runtime.
-            while socket2::SockRef::from(&watched.stream).peek(&mut [MaybeUninit::uninit()]).is_err() {}
-            progress.begin(0);
-            assert!(matches!(Pin::new(&mut watched).poll_write(cx, b"GET"), Poll::Ready(Err(_))));
-            assert!(progress.is_untouched());
-        }
-    }
 }
--- a/src/bin/marlwinch/clients.rs
+++ b/src/bin/marlwinch/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: connections that are taken, requests that become events, final answers that go back.
 
 use crate::backends::{CORRELATION, LARGEST_BODY, LARGEST_HEAD, Payload, Reply, TIME_LEFT};
+use crate::heads::{Heads, WatchedClient};
 use crate::logging;
 use crate::node::{Answer, Arrival, NodeEvent};
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use larchspread::{NewRequest, Repeat, RequestId, Settings};
 use log::{debug, info};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -28,6 +29,16 @@
 /// A connection idle for so long is closed; one that does not end after that is dropped.
 const LONGEST_IDLE: Duration = Duration::from_secs(75);
 const LAST_WORDS: Duration = Duration::from_secs(5);
+/// How long a new connection may say nothing, a head may take to come, and a body after it. Guards against clients that
+/// hold a place and never send a request.
+const SLOWEST: Duration = Duration::from_secs(2);
+/// A new connection that has said nothing for so long gives way first when there is no room: whoever opens one for a
+/// request sends that at once.
+const HESITANT: Duration = Duration::from_millis(50);
+/// How often connections are looked at for these.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+/// What a request in hand may hold besides its body: an answer.
+const KIB_AN_ANSWER: usize = LARGEST_BODY >> 10;
 /// How long the node goes on accepting after it was told to end.
 const FAREWELL: Duration = Duration::from_millis(500);
 /// How long a connection may be without a request before it is closed, once the node ends.
@@ -49,6 +60,10 @@
     pub ending: Cell<bool>,
     pub taken: Cell<u64>,
     pub connections: Connections,
+    /// The KiB that bodies and answers in hand may still take. Guards the node's memory.
+    pub room_in_hand: Semaphore,
+    /// The ids of the requests in hand.
+    pub ids: RefCell<HashSet<HeaderValue>>,
 }
 
 /// The connections that are open.
@@ -63,27 +78,61 @@
 struct State {
     /// Since when it has had no request in hand; `None` while it has one.
     idle_since: Cell<Option<Instant>>,
-    /// Tells the task to close it once it is between requests.
+    /// Whether it has ever had one.
+    asked: Cell<bool>,
+    heads: Rc<Heads>,
+    /// Tells the task to close it once it is between requests, and since when it has been told.
     close: Notify,
+    closing: Cell<Option<Instant>>,
+    /// Tells the task to drop it as it is.
+    cut: Notify,
+}
+
+impl State {
+    fn idle_for(&self, long: Duration) -> bool {
+        self.idle_since.get().is_some_and(|since| since.elapsed() >= long)
+    }
+    fn close(&self) {
+        self.closing.set(self.closing.get().or_else(|| Some(Instant::now())));
+        self.close.notify_one();
+    }
+    /// Whether it is of no use: it never says what it wants, or doesn't take its answer.
+    fn is_stuck(&self) -> bool {
+        let long_ago = |since: Option<Instant>, long| since.is_some_and(|since| since.elapsed() >= long);
+        !self.asked.get() && self.idle_for(SLOWEST)
+            || self.idle_since.get().is_some() && long_ago(self.heads.coming_since(), SLOWEST)
+            || self.idle_for(LAST_WORDS) && long_ago(self.closing.get(), LAST_WORDS)
+    }
 }
 
 impl Connections {
-    /// Closes the connection that has been idle for longest, to make room.
+    /// Closes a connection to make room: one that hesitates to send its first request, else the one that has been idle
+    /// for longest. One that has just come is about to ask.
     fn evict(&self) {
         let open = self.open.borrow();
-        let idle = open.values().filter_map(|state| Some((state.idle_since.get()?, state)));
-        if let Some((_, state)) = idle.min_by_key(|(since, _)| *since) {
-            state.close.notify_one();
+        let idle = open.values().filter(|state| state.closing.get().is_none());
+        let idle = idle.filter_map(|state| Some((state.asked.get(), state.idle_since.get()?, state)));
+        let idle = idle.filter(|(asked, since, _)| *asked || since.elapsed() >= HESITANT);
+        match idle.min_by_key(|(asked, since, _)| (*asked, *since)) {
+            Some((true, _, state)) => state.close(),
+            Some((false, _, state)) => state.cut.notify_one(),
+            None => {}
         }
     }
 
     fn close_idle(&self, for_longer_than: Duration) {
         for state in self.open.borrow().values() {
-            if state.idle_since.get().is_some_and(|since| since.elapsed() >= for_longer_than) {
-                state.close.notify_one();
+            if state.idle_for(for_longer_than) {
+                state.close();
             }
         }
     }
+
+    /// Closes what has been idle for long and drops what is stuck.
+    fn sweep(&self, longest_idle: Duration) {
+        self.close_idle(longest_idle);
+        self.open.borrow().values().filter(|state| state.is_stuck()).for_each(|state| state.cut.notify_one());
+    }
 }
 
 /// Takes connections, `most` at a time, until `end` comes and all that was taken is answered. The limit guards the
@@ -92,11 +141,11 @@
 pub async fn serve(clients: Rc<Clients>, listener: TcpListener, most: usize, end: impl Future<Output = ()>) {
     let room = Arc::new(Semaphore::new(most));
     let mut end = pin!(end);
-    let mut sweep = tokio::time::interval(Duration::from_secs(1));
+    let mut sweep = tokio::time::interval(SWEEP_EVERY);
     loop {
         tokio::select! {
             stream = accept(&clients, &listener, &room) => take(&clients, stream),
-            _ = sweep.tick() => clients.connections.close_idle(LONGEST_IDLE),
+            _ = sweep.tick() => clients.connections.sweep(LONGEST_IDLE),
             () = &mut end => break,
         }
     }
@@ -107,7 +156,7 @@
     loop {
         tokio::select! {
             stream = accept(&clients, &listener, &room) => take(&clients, stream),
-            _ = sweep.tick() => clients.connections.close_idle(LAST_CALL),
+            _ = sweep.tick() => clients.connections.sweep(LAST_CALL),
             () = tokio::time::sleep_until(farewell) => break,
         }
     }
@@ -117,7 +166,7 @@
     }
     drop(listener);
     while !clients.connections.open.borrow().is_empty() {
-        clients.connections.close_idle(LAST_CALL);
+        clients.connections.sweep(LAST_CALL);
         sleep(Duration::from_millis(10)).await;
     }
     info!("all is answered");
@@ -151,7 +200,14 @@
     let connections = &clients.connections;
     let number = connections.next.get();
     connections.next.set(number + 1);
-    let state = Rc::new(State { idle_since: Cell::new(Some(Instant::now())), close: Notify::new() });
+    let state = Rc::new(State {
+        idle_since: Cell::new(Some(Instant::now())),
+        asked: Cell::new(false),
+        heads: Rc::default(),
+        close: Notify::new(),
+        closing: Cell::new(None),
+        cut: Notify::new(),
+    });
     connections.open.borrow_mut().insert(number, state.clone());
     let clients = clients.clone();
     spawn_local(async move {
@@ -171,8 +227,17 @@
         let (clients, state) = (clients.clone(), state.clone());
         async move {
             state.idle_since.set(None);
-            let mut answer = answer(&clients, request).await.unwrap_or_else(|bad| bad.response());
-            if clients.ending.get() {
+            state.asked.set(true);
+            let in_chunks = request.headers().contains_key(header::TRANSFER_ENCODING);
+            let answer = if state.heads.are_ambiguous() {
+                Err(Bad::request("content-length: said twice, or beside transfer-encoding"))
+            } else {
+                answer(&clients, request).await
+            };
+            // After a request that is not taken, what follows may be anything; after one in chunks, heads are not watched.
+            let close = clients.ending.get() || in_chunks || answer.is_err();
+            let mut answer = answer.unwrap_or_else(|bad| bad.response());
+            if close {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             state.idle_since.set(Some(Instant::now()));
@@ -180,15 +245,13 @@
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    let mut served = pin!(builder.max_buf_size(LARGEST_HEAD).serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        end = &mut served => return end.unwrap_or_else(|e| debug!("a client's connection: {e}")),
-        () = state.close.notified() => served.as_mut().graceful_shutdown(),
-    }
-    // A client that does not read its answer must not keep the connection.
-    while timeout(LAST_WORDS, &mut served).await.is_err() {
-        if state.idle_since.get().is_some_and(|since| since.elapsed() >= LAST_WORDS) {
-            return;
+    let io = TokioIo::new(WatchedClient::new(stream, state.heads.clone()));
+    let mut served = pin!(builder.max_buf_size(LARGEST_HEAD).serve_connection(io, service));
+    loop {
+        tokio::select! {
+            end = &mut served => return end.unwrap_or_else(|e| debug!("a client's connection: {e}")),
+            () = state.close.notified() => served.as_mut().graceful_shutdown(),
+            () = state.cut.notified() => return debug!("a client's connection is dropped: it was of no use"),
         }
     }
 }
@@ -217,7 +280,19 @@
     }
     let (head, body) = request.into_parts();
     let mut new = read_head(clients, &head)?;
-    let body = read_body(body, new.remaining).await?;
+    let _open = OpenId::new(clients, head.headers.get(&CORRELATION))?;
+    let size = body.size_hint().exact().unwrap_or(LARGEST_BODY as u64);
+    if size > LARGEST_BODY as u64 {
+        return Err(too_large());
+    }
+    if head.method == Method::GET && !body.is_end_stream() {
+        return Err(Bad::request("this class takes no body"));
+    }
+    let kib = size.div_ceil(1 << 10) as u32 + KIB_AN_ANSWER as u32;
+    let Ok(_in_hand) = clients.room_in_hand.try_acquire_many(kib) else {
+        return Ok(final_answer(Answer::Refused { retry_after: clients.settings.limits.max_retry_after }));
+    };
+    let body = read_body(body, new.remaining.min(SLOWEST)).await?;
     new.id = RequestId(clients.taken.get());
     clients.taken.set(new.id.0 + 1);
     let target = head.uri.path_and_query().cloned().ok_or_else(|| Bad::request("no path"))?;
@@ -249,6 +324,26 @@
     }
 }
 
+/// The id of a request in hand. A second request with it fails, and the first is left alone: to a backend both would be
+/// one.
+struct OpenId<'a>(&'a Clients, HeaderValue);
+
+impl<'a> OpenId<'a> {
+    fn new(clients: &'a Clients, id: Option<&HeaderValue>) -> Result<Self, Bad> {
+        let id = id.cloned().ok_or_else(|| Bad::request("x-correlation-id: missing"))?;
+        if !clients.ids.borrow_mut().insert(id.clone()) {
+            return Err(Bad(StatusCode::CONFLICT, "x-correlation-id: that of a request in hand".into()));
+        }
+        Ok(OpenId(clients, id))
+    }
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
+    }
+}
+
 /// What the head says of the request, if it is one of those that the settings describe.
 fn read_head(clients: &Clients, head: &hyper::http::request::Parts) -> Result<NewRequest, Bad> {
     let mut parts = head.uri.path().split('/').skip(1);
@@ -283,7 +378,10 @@
     };
     let remaining = match header(&TIME_LEFT)? {
         None => terms.deadline,
-        Some(text) => seconds(text).ok_or_else(|| Bad::request("x-time-left: not a time"))?,
+        // No client waits longer than its class allows, whatever it says.
+        Some(text) => {
+            seconds(text).ok_or_else(|| Bad::request("x-time-left: not a time"))?.min(terms.deadline)
+        }
     };
     let cost = match header(&WEIGHT_HINT)? {
         None => None,
@@ -306,7 +404,7 @@
 }
 
 fn seconds(text: &str) -> Option<Duration> {
-    let seconds = text.trim().parse::<f64>().ok().filter(|s| *s >= 0.0)?;
+    let seconds = text.trim().parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)?;
     Duration::try_from_secs_f64(seconds.min(Settings::LONGEST.as_secs_f64())).ok()
 }
 
@@ -315,13 +413,12 @@
     u64::from_str_radix(key, 16).unwrap_or_else(|_| crate::discovery::server_id(key).0).max(1)
 }
 
-/// Reads a body whole. Too large a one, or one that does not come in the client's own time, is never passed on.
+fn too_large() -> Bad {
+    Bad(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds at most {LARGEST_BODY} bytes"))
+}
+
+/// Reads a body whole. Too large a one, or one that does not come in time, is never passed on.
 async fn read_body(body: Incoming, within: Duration) -> Result<Bytes, Bad> {
-    let too_large =
-        || Bad(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds at most {LARGEST_BODY} bytes"));
-    if body.size_hint().lower() > LARGEST_BODY as u64 {
-        return Err(too_large());
-    }
     match timeout(within, Limited::new(body, LARGEST_BODY).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
--- a/src/bin/marlwinch/main.rs
+++ b/src/bin/marlwinch/main.rs
@@ -6,8 +6,10 @@
 mod clients;
 mod config;
 mod discovery;
+mod heads;
 mod logging;
 mod node;
+mod watched;
 
 use backends::{Backends, Driver};
 use clients::{Clients, Connections};
@@ -20,13 +22,13 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::task::{LocalSet, spawn_local};
 
 /// Descriptors for the listener, discovery, the runtime and the standard streams.
 const KEPT_FREE: usize = 32;
-/// What a client's connection may hold: a request, its answer, and hyper's buffers for both sides.
-const KIB_A_CLIENT: usize = 192;
+/// What a client's connection holds without its request and answer: hyper's buffers for both sides and a head.
+const KIB_A_CLIENT: usize = 48;
 
 fn main() -> ExitCode {
     logging::start();
@@ -59,9 +61,9 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
-    // Half of the descriptors for clients; half of the memory, too.
-    let sockets = config.sockets - KEPT_FREE;
-    let most_clients = (sockets / 2).min(config.memory_mb * 1024 / 2 / KIB_A_CLIENT).max(1);
+    // Half of the descriptors for clients; a quarter of the memory for their connections and half for what is in hand.
+    let (sockets, memory_kib) = (config.sockets - KEPT_FREE, config.memory_mb << 10);
+    let most_clients = (sockets / 2).min(memory_kib / 4 / KIB_A_CLIENT).max(1);
     let (limits, host) = (config.settings.limits, config.host);
     let backends = Rc::new(Backends::new(
         sockets - most_clients,
@@ -104,6 +106,8 @@
         ending: Cell::new(false),
         taken: Cell::new(1),
         connections: Connections::default(),
+        room_in_hand: Semaphore::new(memory_kib / 2),
+        ids: RefCell::default(),
     });
     let end = async move {
         terminate.recv().await;
--- /dev/null
+++ b/src/bin/marlwinch/watched.rs
@@ -0,0 +1,243 @@
+//! A backend's socket, watched for what hyper does not tell: how much of a request was written, whether the peer has
+//! left, and how far its answer has come.
+
+use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
+
+/// Answers 1xx ahead of the answer itself. Guards against a backend that sends nothing else and never ends.
+const MOST_AHEAD: u32 = 16;
+
+/// How far the exchange in hand has come. hyper writes and reads out of sight of its caller. Whether a request may have
+/// run depends on whether its last byte was written; whether an answer is still to be expected, on when it began.
+#[derive(Default)]
+pub struct Progress {
+    body: Cell<usize>,
+    /// How much of the blank line that ends the head has come, 4 once it is over; body bytes after that.
+    blank_line: Cell<usize>,
+    body_written: Cell<usize>,
+    touched: Cell<bool>,
+    answer: Cell<Answer>,
+    /// Answers 1xx that came.
+    ahead: Cell<u32>,
+    /// When the first byte of the answer came, those of answers 1xx aside.
+    began: Cell<Option<Instant>>,
+    begins: Notify,
+}
+
+/// Where in a head the last byte was.
+#[derive(Clone, Copy, Default)]
+struct Answer {
+    bytes: usize,
+    ahead: bool,
+    /// Whether the line that goes on has nothing in it yet.
+    line_empty: bool,
+    head_over: bool,
+}
+
+impl Progress {
+    /// Starts with a request whose body has so many bytes.
+    pub fn begin(&self, body: usize) {
+        self.body.set(body);
+        self.blank_line.set(0);
+        self.body_written.set(0);
+        self.touched.set(false);
+        self.answer.take();
+        self.ahead.set(0);
+        self.began.set(None);
+    }
+    fn written(&self, bytes: &[u8]) {
+        self.touched.set(self.touched.get() || !bytes.is_empty());
+        for (i, byte) in bytes.iter().enumerate() {
+            if self.blank_line.get() == 4 {
+                return self.body_written.set(self.body_written.get() + bytes.len() - i);
+            }
+            let next = match (self.blank_line.get(), byte) {
+                (0 | 2, b'\r') | (1 | 3, b'\n') => self.blank_line.get() + 1,
+                (_, b'\r') => 1,
+                _ => 0,
+            };
+            self.blank_line.set(next);
+        }
+    }
+    pub fn is_untouched(&self) -> bool {
+        !self.touched.get()
+    }
+    pub fn is_complete(&self) -> bool {
+        self.blank_line.get() == 4 && self.body_written.get() >= self.body.get()
+    }
+    fn read(&self, bytes: &[u8]) {
+        let mut answer = self.answer.get();
+        for byte in bytes {
+            if answer.head_over {
+                break;
+            }
+            if self.began.get().is_none() {
+                self.began.set(Some(Instant::now()));
+                self.begins.notify_one();
+            }
+            // "HTTP/1.1 1xx" has its sort in the tenth byte. 101 is the last answer on its connection.
+            answer.bytes += 1;
+            match answer.bytes {
+                10 => answer.ahead = *byte == b'1',
+                12 if *byte == b'1' && answer.ahead => answer.ahead = false,
+                _ => {}
+            }
+            match byte {
+                b'\n' if answer.line_empty && answer.ahead => {
+                    answer = Answer::default();
+                    self.ahead.set(self.ahead.get() + 1);
+                    self.began.set(None);
+                }
+                b'\n' if answer.line_empty => answer.head_over = true,
+                b'\n' => answer.line_empty = true,
+                b'\r' => {}
+                _ => answer.line_empty = false,
+            }
+        }
+        self.answer.set(answer);
+    }
+    /// Whether more answers 1xx have come than a backend in its right mind sends.
+    pub fn is_flooded(&self) -> bool {
+        self.ahead.get() > MOST_AHEAD
+    }
+    /// Waits until an answer has begun and so much time has passed since. An answer that is whole by then has ended
+    /// the wait.
+    pub async fn stalls(&self, after: Duration) {
+        loop {
+            match self.began.get() {
+                None => self.begins.notified().await,
+                Some(at) => {
+                    sleep_until(at + after).await;
+                    if self.began.get() == Some(at) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A backend's socket that tells what was written, and looks for the peer's close before a request's first byte: a
+/// write to a connection that the backend has left counts as a request that may have run.
+pub struct Watched {
+    pub stream: TcpStream,
+    pub progress: Rc<Progress>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        self.progress.read(&buffer.filled()[before..]);
+        if self.progress.is_flooded() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.progress.is_untouched() {
+            // Asks the socket itself; the runtime may not have heard yet. Anything to read is out of turn.
+            match socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                _ => return Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+            }
+        }
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(count)) = &written {
+            self.progress.written(&bytes[..*count]);
+        }
+        written
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::task::Waker;
+
+    #[test]
+    fn a_request_is_complete_with_its_last_byte_however_it_is_cut() {
+        let text = b"POST /a HTTP/1.1\r\nX: \r\r\nY: 1\r\n\r\n\r\n\r\nbody";
+        let body = b"\r\n\r\nbody".len();
+        for cut in 1..text.len() {
+            let progress = Progress::default();
+            progress.begin(body);
+            assert!(progress.is_untouched());
+            for piece in text.chunks(cut) {
+                assert!(!progress.is_complete(), "cut at {cut}");
+                progress.written(piece);
+                assert!(!progress.is_untouched());
+            }
+            assert!(progress.is_complete(), "cut at {cut}");
+            progress.begin(body);
+            progress.written(&text[..text.len() - 1]);
+            assert!(!progress.is_complete(), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn an_answer_begins_after_those_that_come_ahead() {
+        let ahead = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+        for cut in 1..ahead.len() {
+            let progress = Progress::default();
+            ahead.chunks(cut).for_each(|piece| progress.read(piece));
+            assert!(progress.began.get().is_none() && !progress.is_flooded(), "cut at {cut}");
+            progress.read(b"H");
+            assert!(progress.began.get().is_some(), "cut at {cut}");
+        }
+        let progress = Progress::default();
+        progress.read(b"HTTP/1.1 101 Switching Protocols\r\n\r\n");
+        assert!(progress.began.get().is_some());
+        progress.begin(0);
+        (0..MOST_AHEAD).for_each(|_| progress.read(b"HTTP/1.1 100 Continue\n\n"));
+        assert!(!progress.is_flooded());
+        progress.read(b"HTTP/1.1 100 Continue\n\n");
+        assert!(progress.is_flooded());
+    }
+
+    /// The peer's close or stray bytes count even while the runtime has not yet heard of them.
+    #[tokio::test]
+    async fn not_a_byte_is_written_to_a_connection_that_the_peer_has_left() {
+        for stray in [None, Some(b"HTTP/1.1 408 Request Timeout\r\n\r\n")] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+            let (mut peer, _) = listener.accept().unwrap();
+            let progress = Rc::new(Progress::default());
+            let mut watched = Watched { stream, progress: progress.clone() };
+            let cx = &mut Context::from_waker(Waker::noop());
+            progress.begin(0);
+            assert!(matches!(Pin::new(&mut watched).poll_write(cx, b"GET"), Poll::Ready(Ok(3))));
+            let mut read = [0; 3];
+            io::Read::read_exact(&mut peer, &mut read).unwrap();
+            if let Some(stray) = stray {
+                peer.write_all(stray).unwrap();
+            } else {
+                drop(peer);
+            }
+            // Waits for it without the runtime.
+            while socket2::SockRef::from(&watched.stream).peek(&mut [MaybeUninit::uninit()]).is_err() {}
+            progress.begin(0);
+            assert!(matches!(Pin::new(&mut watched).poll_write(cx, b"GET"), Poll::Ready(Err(_))));
+            assert!(progress.is_untouched());
+        }
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -64,7 +64,7 @@
     let mut client = node.client();
     client.request(
         "submit",
-        "X-Time-Left: 9.5\r\nX-Facts: a=1\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\n",
+        "X-Correlation-Id: 9b1f\r\nX-Time-Left: 9.5\r\nX-Facts: a=1\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\n",
         "sheet",
     );
     let mut peer = backend.accept();
@@ -129,13 +129,26 @@
 #[test]
 fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
     let large = "x".repeat((64 << 10) + 1);
-    let ends: [&dyn Fn(&mut Peer); 7] = [
+    let flood = "HTTP/1.1 100 Continue\r\n\r\n".repeat(40);
+    let ends: [&dyn Fn(&mut Peer); 16] = [
         &|peer| peer.answer("500 Internal Server Error", "", "broken"),
         &|peer| peer.answer("503 Service Unavailable", "", "who knows"),
         &|peer| peer.stream.shutdown(std::net::Shutdown::Both).expect("closed"),
         &|peer| peer.write("SSH-2.0-nothing of the kind\r\n\r\n"),
         &|peer| peer.write("HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n"),
         &|peer| peer.answer("200 OK", "", &large),
+        // Where it ends is not said, or twice; or it never does. The connection stays open.
+        &|peer| peer.write("HTTP/1.1 200 OK\r\nX: y\r\n\r\nwhole?"),
+        &|peer| peer.write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"),
+        &|peer| peer.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\ndone"),
+        &|peer| peer.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone"),
+        &|peer| peer.write("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"),
+        &|peer| {
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+        },
+        &|peer| peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nlots\r\n"),
+        &|peer| peer.write("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"),
+        &|peer| peer.write(&flood),
         &|peer| {
             peer.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
             peer.stream.shutdown(std::net::Shutdown::Both).expect("closed");
@@ -153,6 +166,68 @@
         assert_eq!((answer.status(), answer.header("retry-after")), (502, None), "end {i}");
         assert!([&one, &other][1 - first].is_untouched(), "end {i}");
         assert!(node.is_running(), "end {i}");
+        // An answer that is understood leaves its connection of use.
+        if i > 1 {
+            peer.expect_end();
+        }
+    }
+}
+
+/// An answer that has begun and does not go on ends long before the client's time does.
+#[test]
+fn an_answer_that_stalls_is_given_up() {
+    for part in ["HTTP/1.1 200 OK\r\nContent-", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"] {
+        let (backend, discovery) = (Listener::new(), Listener::new());
+        let known = list(1, true, &[("s-1", backend.address(), "east", "in_service")]);
+        let change =
+            |c: &mut serde_json::Value| c["settings"]["Permissions"]["ConnectTimeout"] = 300.0.into();
+        let node = Node::start(&config(discovery.address(), &known, change));
+        let mut client = node.client();
+        client.request("correct", "", "x");
+        let mut peer = backend.accept();
+        peer.read();
+        peer.write(part);
+        // 504 would mean that the time was up.
+        assert_eq!(client.read().status(), 502);
+        peer.expect_end();
+    }
+}
+
+#[test]
+fn an_answer_is_served_behind_some_that_come_ahead() {
+    let backend = Listener::new();
+    let (node, _discovery) = node_with(&[&backend]);
+    let mut client = node.client();
+    client.request("correct", "", "x");
+    let mut peer = backend.accept();
+    peer.read();
+    peer.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().body, b"done");
+    serve_on(&mut peer, &mut client);
+}
+
+/// What comes behind an answer must not pass for the next one.
+#[test]
+fn a_connection_with_more_than_its_answer_is_not_used_again() {
+    for behind in ["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "\u{0}\u{1}noise"] {
+        let backend = Listener::new();
+        let (node, _discovery) = node_with(&[&backend]);
+        let mut client = node.client();
+        for apart in [false, true, false, true] {
+            client.request("correct", "", "x");
+            let mut peer = backend.accept();
+            peer.read();
+            let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+            if apart {
+                peer.write(answer);
+                peer.write(behind);
+            } else {
+                peer.write([answer, behind].concat());
+            }
+            assert_eq!(client.read().body, b"done");
+            peer.expect_end();
+        }
     }
 }
 
@@ -335,7 +410,16 @@
         ("POST /correct/1 HTTP/1.1\r\nHost: b\r\nX-Correlation-Id: 1\r\nX-Account: nobody\r\nContent-Length: 0\r\n\r\n".to_string(), 400),
         (format!("POST /correct/1 HTTP/1.1\r\n{ok}X-Time-Left: soon\r\nContent-Length: 0\r\n\r\n"), 400),
         (format!("POST /correct/1 HTTP/1.1\r\n{ok}X-Time-Left: NaN\r\nContent-Length: 0\r\n\r\n"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}X-Time-Left: inf\r\nContent-Length: 0\r\n\r\n"), 400),
         (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: -4\r\n\r\n"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: +4\r\n\r\nbody"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: 62914560\r\n\r\nx"), 413),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: 99999999999999999999\r\n\r\n"), 400),
+        (format!("GET /look/1 HTTP/1.1\r\n{ok}Content-Length: 4\r\n\r\nbody"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n"), 400),
+        (format!("POST /correct/1 HTTP/1.1\r\n{ok}Content-Length: 9\r\n\r\nhalf"), 408),
         (large, 413),
         (chunked, 413),
         (long_head, 431),
@@ -537,3 +621,82 @@
     serve_anew(&backend, &mut client);
     assert!(node.is_running() && discovery.is_untouched());
 }
+
+/// Nobody waits for those that say nothing or stop halfway through a head.
+#[test]
+fn a_client_that_sends_no_whole_head_is_let_go() {
+    let backend = Listener::new();
+    let (node, _discovery) = node_with(&[&backend]);
+    let mut good = node.client();
+    let mut peer = serve_anew(&backend, &mut good);
+    let (mut silent, mut half) = (node.client(), node.client());
+    half.write("POST /correct/1 HTTP/1.1\r\nHost: b\r\n");
+    silent.expect_end();
+    half.expect_end();
+    // One that has asked may rest for longer.
+    serve_on(&mut peer, &mut good);
+}
+
+#[test]
+fn the_id_of_a_request_in_hand_is_not_taken_again() {
+    let backend = Listener::new();
+    let (node, _discovery) = node_with(&[&backend]);
+    let (mut first, mut second) = (node.client(), node.client());
+    first.request("correct", "X-Correlation-Id: 9b1f\r\n", "x");
+    let mut peer = backend.accept();
+    peer.read();
+    second.request("correct", "X-Correlation-Id: 9b1f\r\n", "x");
+    assert_eq!(second.read().status(), 409);
+    peer.answer("200 OK", "", "done");
+    assert_eq!(first.read().body, b"done");
+    // Once it is answered the id is free.
+    first.request("correct", "X-Correlation-Id: 9b1f\r\n", "x");
+    peer.read();
+    peer.answer("200 OK", "", "again");
+    assert_eq!(first.read().body, b"again");
+    assert!(backend.is_untouched());
+}
+
+/// A client's time is its class's at the most.
+#[test]
+fn no_client_waits_longer_than_its_class() {
+    let (backend, discovery) = (Listener::new(), Listener::new());
+    let known = list(1, true, &[("s-1", backend.address(), "east", "in_service")]);
+    let change = |c: &mut serde_json::Value| c["settings"]["Classes"][2]["GiveUp"] = 300.0.into();
+    let node = Node::start(&config(discovery.address(), &known, change));
+    let mut client = node.client();
+    client.request("correct", "X-Time-Left: 90000\r\n", "x");
+    let mut peer = backend.accept();
+    let request = peer.read();
+    let left: f64 = request.header("x-time-left").and_then(|t| t.parse().ok()).expect("the time left");
+    assert!(left <= 0.3, "{left}");
+    assert_eq!(client.read().status(), 504);
+}
+
+/// With memory for the bodies and answers of four requests a fifth is turned away before it has gone anywhere.
+#[test]
+fn what_there_is_no_memory_for_is_refused() {
+    let (one, other, discovery) = (Listener::new(), Listener::new(), Listener::new());
+    let backends = [&one, &other].map(|b| b.address());
+    let known = list(
+        1,
+        true,
+        &[("s-1", backends[0], "east", "in_service"), ("s-2", backends[1], "east", "in_service")],
+    );
+    let change = |c: &mut serde_json::Value| c["limits"]["memory_mb"] = 1.into();
+    let node = Node::start(&config(discovery.address(), &known, change));
+    let body = "x".repeat(64 << 10);
+    let mut at_work = Vec::new();
+    for _ in 0..4 {
+        let mut client = node.client();
+        client.request("correct", "", &body);
+        let (_, mut peer) = Listener::accept_any(&[&one, &other]);
+        assert_eq!(peer.read().body.len(), body.len());
+        at_work.push((client, peer));
+    }
+    let mut client = node.client();
+    client.request("correct", "", &body);
+    let answer = client.read();
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("1.5")));
+    assert!(one.is_untouched() && other.is_untouched());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -228,15 +229,20 @@
     pub fn write(&mut self, text: impl AsRef<[u8]>) {
         self.stream.write_all(text.as_ref()).expect("written");
     }
-    /// Sends a request of a class with a body; `more` holds further header lines.
+    /// Sends a request of a class with a body; `more` holds further header lines. Its id is new, unless `more` has one.
     pub fn request(&mut self, class: &str, more: &str, body: &str) {
         let method = if class == "look" { "GET" } else { "POST" };
         let key = if class == "submit" { "Idempotency-Key: 5c0f\r\n" } else { "" };
         let length =
             if class == "look" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let id = match more.contains("X-Correlation-Id") {
+            true => String::new(),
+            false => format!("X-Correlation-Id: {:x}\r\n", NEXT.fetch_add(1, Ordering::Relaxed)),
+        };
         self.write(format!(
-            "{method} /{class}/7f3a?x=1 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f\r\n\
-             X-Account: acme\r\n{key}{length}{more}\r\n{body}"
+            "{method} /{class}/7f3a?x=1 HTTP/1.1\r\nHost: backend.local\r\n{id}X-Account: acme\r\n\
+             {key}{length}{more}\r\n{body}"
         ));
     }
     /// Answers with a status, header lines and a body.
