--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,11 +1,9 @@
-//! Every decision of larchspread. Types, events and actions are in `src/interface.rs`; what a node
-//! remembers of servers and requests is laid out in `src/state.rs`.
-//!
-//! From top to bottom: who may be sent to, the pick, sending, what follows an outcome, refusing and
-//! failing, housekeeping. Each departure from the paper, and when it acts: `docs/design.md`.
+//! Every decision of larchspread. Types, events and actions: `src/interface.rs`; what a node remembers:
+//! `src/state.rs`. From top to bottom: who may be sent to, the pick, sending, what follows an outcome,
+//! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design.md`.
 
 use crate::interface::*;
-use crate::state::{Attempt, Fleet, Levels, Rate, Request, Server, Tokens, Usual};
+use crate::state::{Attempt, Fleet, Rate, Request, Server, Tokens, Usual};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -44,7 +42,6 @@
     sends: f64,
     idle_signs: f64,
     busy: f64,
-    in_time: Levels,
     probe_tokens: f64,
     retry_tokens: f64,
     /// Requests that arrived, over a minute; work that arrived, and work answered by warm servers.
@@ -76,8 +73,6 @@
             sends: 1.0,
             idle_signs: 1.0,
             busy: 0.5,
-            // To wait behind one other is the least that crowding can be: refused only on evidence.
-            in_time: Levels::new(1, 0.25),
             probe_tokens: 0.0,
             retry_tokens: 1.0 / RETRY_SHARE,
             traffic: Rate::over(60.0),
@@ -179,9 +174,10 @@
         total.per_s(self.now) / among.max(1) as f64
     }
 
-    /// Soft gate: not ejected, or on trial with one request at a time.
+    /// Soft gate: not ejected, or on trial with one request at a time, and not silent for long.
     fn healthy(&self, server: &Server) -> bool {
         server.ejected.is_none_or(|until| self.now >= until && server.out == 0)
+            && !server.is_silent(self.now, 2.0 * self.answer_time)
     }
 
     /// How crowded a server is: what it reported lately, and at least own attempts that are out.
@@ -235,7 +231,7 @@
     fn uncrowded(&self, mut among: Vec<ServerId>) -> Vec<ServerId> {
         let crowd = |id: &ServerId| self.crowd(&self.fleet[id]);
         let level = |id: &ServerId| crowd(id).round() as usize;
-        among.retain(|id| level(id) == 0 || self.in_time.share(level(id)) >= 0.5);
+        among.retain(|id| level(id) == 0 || self.fleet[id].in_time.share(level(id)) >= 0.5);
         let average = among.iter().map(crowd).sum::<f64>() / among.len() as f64 + 1e-9;
         among.retain(|id| crowd(id) <= average);
         among
@@ -315,18 +311,16 @@
         let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
         let first = request.attempts.is_empty();
         self.retry_tokens -= if first { 0.0 } else { 1.0 };
-        // Hedging, while a copy would be in time: where few are idle it takes from others more than it gains.
+        // Hedging, while a copy would be in time; not where all are so slow that most would have one.
         let work = request.cost.map_or(self.answer_time, |cost| cost.as_secs_f64());
         let after = timeout.saturating_sub(Duration::from_secs_f64(1.5 * work));
-        let hedge = first && self.settings.limits.parallel_attempts && self.busy < 0.5;
+        let late = after.as_secs_f64() >= 1.5 * work;
+        let hedge = first && self.settings.limits.parallel_attempts && (late || self.busy < 0.5);
         self.requests.entry(id).and_modify(|r| {
             r.attempts.push(attempt);
             (r.copying, r.copy_at) = (false, hedge.then_some(now + after));
         });
-        self.fleet.modify(to, |s| {
-            (s.credit, s.count, s.out) = (credit, s.count + 1, s.out + 1);
-            s.load = s.load.map(|(load, at)| (load + 1.0, at));
-        });
+        self.fleet.modify(to, |s| s.sent(now, credit));
         actions.push(Action::Send { id, server: to, timeout });
         actions.extend(hedge.then_some(Action::SetTimer { after, token: id.0 }));
         self.held.retain(|held| *held != id);
@@ -352,7 +346,7 @@
             self.pace += (ratio - self.pace) * SMOOTH * weight.min(1.0);
         }
         let finished = end.finished || request.done;
-        self.fleet.ended(end.server);
+        self.fleet.ended(end.server, end.outcome, self.now);
         self.on_report(end.server, end.report);
         self.learn(&end, overdue, tight, crowd, weight);
         if finished {
@@ -373,16 +367,18 @@
         }
         let late = overdue && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         match end.outcome {
-            Outcome::Served if !tight => self.in_time.raise(crowd, SMOOTH),
+            Outcome::Served if !tight => self.fleet.modify(server, |s| s.in_time.raise(crowd, SMOOTH)),
             _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
-                self.in_time.lower(crowd, SMOOTH)
+                self.fleet.modify(server, |s| s.in_time.lower(crowd, SMOOTH))
             }
             _ => {}
         }
         match end.outcome {
             Outcome::Served => self.judge(server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0),
-            Outcome::ConnectFailed | Outcome::Reset => self.judge(server, 1.0, 1.0),
-            _ if late || end.outcome == Outcome::Error => self.judge(server, 1.0, SMOOTH * 2.0),
+            Outcome::ConnectFailed => self.judge(server, 1.0, 0.5),
+            _ if late || matches!(end.outcome, Outcome::Error | Outcome::Reset) => {
+                self.judge(server, 1.0, SMOOTH * 2.0)
+            }
             _ => {}
         }
     }
@@ -497,7 +493,11 @@
             self.held.retain(|held| *held != id);
         }
         if request.copy_at.is_some_and(|at| self.now >= at) {
-            (request.copy_at, request.copying) = (None, true);
+            // Where few are idle, only if the first is likely lost: its server is silent or failed lately.
+            let first = request.attempts.last().and_then(|a| self.fleet.get(&a.to.id));
+            let silent = |s: &Server| s.is_silent(self.now, 2.0 * self.answer_time);
+            let lost = first.is_some_and(|s| s.failing > SMOOTH / 2.0 || silent(s));
+            (request.copy_at, request.copying) = (None, lost || self.busy < 0.5);
             request.rounds = if self.settings.probes_tell() { 0 } else { ROUNDS };
         }
         self.dispatch(id, actions);
--- a/src/bin/marlwinch/backends.rs
+++ b/src/bin/marlwinch/backends.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use larchspread::settings::Column;
-use larchspread::{ListKind, LoadReport, Outcome, ServerId, ServerState};
+use larchspread::{ListKind, LoadReport, Outcome, ServerId, ServerState, Settings};
 use log::debug;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -29,6 +29,8 @@
 pub const LARGEST_BODY: usize = 64 << 10;
 /// The largest head of a message. Bounds what hyper buffers for a connection.
 pub const LARGEST_HEAD: usize = 16 << 10;
+/// The part of the shortest aim that a connect may take. Three more fit into the rest, whatever `ConnectTimeout` says.
+const PATIENCE: u32 = 4;
 /// No backend holds as much: a larger or a negative figure is none, and must not pass for a sign of load or idleness.
 const MOST_LOAD: f32 = 1e6;
 /// How long a connection rests after an answer. What a backend sends right behind it has come by then and spoils the
@@ -85,7 +87,10 @@
     /// Connections that are open, and the most that there may be.
     open: Rc<Cell<usize>>,
     most: usize,
-    connect_timeout: Duration,
+    probe_timeout: Duration,
+    /// How long a connection may take to come up, and an answer that has begun to come whole. Guards against machines
+    /// that say nothing: who waits for them to the end of a request's time has none left for another attempt.
+    patience: Duration,
     /// Idle connections are dropped after this time, well before the backend would.
     idle_after: Duration,
     columns: Vec<Column>,
@@ -142,12 +147,15 @@
 }
 
 impl Backends {
-    pub fn new(most: usize, connect_timeout: Duration, idle_close: Duration, columns: Vec<Column>) -> Self {
+    pub fn new(most: usize, settings: &Settings, idle_close: Duration, columns: Vec<Column>) -> Self {
+        let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(Duration::MAX);
+        let connect_timeout = settings.limits.connect_timeout;
         Backends {
             pools: RefCell::default(),
             open: Rc::default(),
             most,
-            connect_timeout,
+            probe_timeout: connect_timeout,
+            patience: connect_timeout.min(aim / PATIENCE),
             idle_after: idle_close / 2,
             columns,
             bad_report: Limited::default(),
@@ -232,7 +240,7 @@
             request.headers_mut().insert(header::HOST, HeaderValue::from_static("backend"));
             request
         };
-        let mut ended = self.exchange(server, request, 0, Instant::now() + self.connect_timeout).await;
+        let mut ended = self.exchange(server, request, 0, Instant::now() + self.probe_timeout).await;
         if let (None, Some(reply)) = (&ended.report, &ended.reply) {
             ended.report = self.report(&reply.body);
         }
@@ -268,14 +276,14 @@
                 let answer = tokio::select! {
                     biased;
                     answer = connection.sender.send_request(request()) => answer,
-                    () = watch.stalls(self.connect_timeout) => return self.spoilt(server, &"its head does not end"),
+                    () = watch.stalls(self.patience) => return self.spoilt(server, &"its head does not end"),
                 };
                 match answer {
                     Ok(answer) => {
                         return tokio::select! {
                             biased;
                             ended = self.answered(server, connection, answer) => ended,
-                            () = watch.stalls(self.connect_timeout) => self.spoilt(server, &"its body does not end"),
+                            () = watch.stalls(self.patience) => self.spoilt(server, &"its body does not end"),
                         };
                     }
                     Err(e) => {
@@ -378,7 +386,7 @@
         self.open.set(self.open.get() + 1);
         let open = OpenOne(self.open.clone());
         self.counters.opened.set(self.counters.opened.get() + 1);
-        let connected = timeout(self.connect_timeout, async {
+        let connected = timeout(self.patience, async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             Ok::<_, io::Error>(stream)
--- a/src/bin/marlwinch/main.rs
+++ b/src/bin/marlwinch/main.rs
@@ -64,10 +64,10 @@
     // Half of the descriptors for clients; a quarter of the memory for their connections and half for what is in hand.
     let (sockets, memory_kib) = (config.sockets - KEPT_FREE, config.memory_mb << 10);
     let most_clients = (sockets / 2).min(memory_kib / 4 / KIB_A_CLIENT).max(1);
-    let (limits, host) = (config.settings.limits, config.host);
+    let host = config.host;
     let backends = Rc::new(Backends::new(
         sockets - most_clients,
-        limits.connect_timeout,
+        &config.settings,
         host.idle_close,
         host.columns.clone(),
     ));
--- a/src/bin/marlwinch/node.rs
+++ b/src/bin/marlwinch/node.rs
@@ -228,6 +228,9 @@
         let Ended { outcome, report, reply } = ended;
         attempt.timed_out = outcome == Outcome::TimedOut;
         let (server, elapsed) = (attempt.server, attempt.sent.elapsed());
+        if outcome != Outcome::Served {
+            debug!("attempt {number} of {id:?} at {server:?}: {outcome:?} after {elapsed:?}");
+        }
         if let Some(reply) = reply {
             if let Some(answer) = open.answer.take() {
                 self.figures.served += 1;
--- a/src/bin/marlwinch/watched.rs
+++ b/src/bin/marlwinch/watched.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
 /// Answers 1xx ahead of the answer itself. Guards against a backend that sends nothing else and never ends.
@@ -117,6 +118,9 @@
                 None => self.begins.notified().await,
                 Some(at) => {
                     sleep_until(at + after).await;
+                    // Where the node itself was held up, what has come meanwhile is read first.
+                    yield_now().await;
+                    yield_now().await;
                     if self.began.get() == Some(at) {
                         return;
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,8 +14,9 @@
     /// Join-Up-To(m)'s estimate: own sends since it last showed idle.
     pub count: u32,
     pub idle_at: Option<Duration>,
-    /// Own attempts that are out.
+    /// Own attempts that are out, and since when nothing has been heard of any.
     pub out: u32,
+    pub silent_since: Duration,
     /// Its reported load with own sends since, and when that was reported.
     pub load: Option<(f64, Duration)>,
     pub probing: bool,
@@ -25,6 +26,22 @@
     pub ejected: Option<Duration>,
     /// What it may still be sent while cold, in usual requests.
     pub credit: Tokens,
+    pub in_time: Levels,
+}
+
+impl Server {
+    /// One attempt more is out.
+    pub fn sent(&mut self, now: Duration, credit: Tokens) {
+        if self.out == 0 {
+            self.silent_since = now;
+        }
+        (self.credit, self.count, self.out) = (credit, self.count + 1, self.out + 1);
+        self.load = self.load.map(|(load, at)| (load + 1.0, at));
+    }
+    /// Whether it has said nothing for longer than that although something is out there.
+    pub fn is_silent(&self, now: Duration, for_s: f64) -> bool {
+        self.out > 0 && now.saturating_sub(self.silent_since).as_secs_f64() > for_s
+    }
 }
 
 /// An attempt, and how it ended.
@@ -114,6 +131,13 @@
 /// the last level counts as that.
 pub struct Levels([f64; 64]);
 
+impl Default for Levels {
+    /// To wait behind one other is the least that crowding can be: refused only on evidence.
+    fn default() -> Self {
+        Levels::new(1, 0.25)
+    }
+}
+
 impl Levels {
     /// Levels up to `open` start with a share of 1.
     pub fn new(open: usize, others: f64) -> Self {
@@ -232,8 +256,12 @@
         self.heard.retain(|id| self.servers.get(id).is_some_and(lately));
     }
     /// One attempt fewer is out; what is gone is kept no longer than those.
-    pub fn ended(&mut self, id: ServerId) {
-        self.modify(id, |s| s.out = s.out.saturating_sub(1));
+    pub fn ended(&mut self, id: ServerId, outcome: Outcome, now: Duration) {
+        let heard = matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Rejected);
+        self.modify(id, |s| {
+            s.out = s.out.saturating_sub(1);
+            s.silent_since = if heard { now } else { s.silent_since };
+        });
         if self.servers.get(&id).is_some_and(|s| s.entry.state == ServerState::Gone && s.out == 0) {
             self.remove(id);
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -700,3 +700,34 @@
     assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("1.5")));
     assert!(one.is_untouched() && other.is_untouched());
 }
+
+/// Whoever waited for its connect to the end of the request's time would have none left for another attempt.
+#[test]
+fn a_machine_that_takes_no_connection_is_given_up_in_time_for_another() {
+    let silent = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    silent.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    silent.listen(0).expect("a backlog");
+    let address = silent.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+    // Once its backlog is full it answers nobody.
+    let patience = std::time::Duration::from_millis(200);
+    let full: Vec<_> =
+        (0..8).map_while(|_| std::net::TcpStream::connect_timeout(&address, patience).ok()).collect();
+    assert!(full.len() < 8, "its backlog is never full");
+
+    let (backend, discovery) = (Listener::new(), Listener::new());
+    let known = list(
+        1,
+        true,
+        &[("s-1", address, "east", "in_service"), ("s-2", backend.address(), "east", "in_service")],
+    );
+    let change = |c: &mut serde_json::Value| {
+        c["settings"]["Permissions"]["ConnectTimeout"] = 20000.0.into();
+        c["settings"]["Classes"][2]["Target"] = 8000.0.into();
+    };
+    let node = Node::start(&config(discovery.address(), &known, change));
+    let mut client = node.client();
+    let mut peer = serve_anew(&backend, &mut client);
+    for _ in 0..4 {
+        serve_on(&mut peer, &mut client);
+    }
+}
