--- a/src/bin/marlwinch/main.rs
+++ b/src/bin/marlwinch/main.rs
@@ -61,9 +61,10 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
-    // Half of the descriptors for clients; a quarter of the memory for their connections and half for what is in hand.
+    // A third of the descriptors for clients, as much as they may hold: whoever holds more has others turned away
+    // before they reach the node. A quarter of the memory for their connections and half for what is in hand.
     let (sockets, memory_kib) = (config.sockets - KEPT_FREE, config.memory_mb << 10);
-    let most_clients = (sockets / 2).min(memory_kib / 4 / KIB_A_CLIENT).max(1);
+    let most_clients = (sockets / 3).min(memory_kib / 4 / KIB_A_CLIENT).max(1);
     let host = config.host;
     let backends = Rc::new(Backends::new(
         sockets - most_clients,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -504,6 +504,21 @@
     drop(crowd);
 }
 
+/// Where clients hold more than a third of the descriptors, others are turned away on the way to the node.
+#[test]
+fn clients_that_ask_once_and_stay_are_let_go_before_they_hold_more_than_a_third() {
+    let discovery = Listener::new();
+    let change = |c: &mut serde_json::Value| c["limits"]["sockets"] = 192.into();
+    let node = Node::start(&config(discovery.address(), &list(1, true, &[]), change));
+    let mut crowd: Vec<Peer> = Vec::new();
+    for _ in 0..100 {
+        let mut client = node.client();
+        is_ready(&mut client);
+        crowd.push(client);
+    }
+    crowd[..100 - 192 / 3].iter_mut().for_each(Peer::expect_end);
+}
+
 /// Asks a node whether it is ready until it is.
 fn wait_until_ready(client: &mut Peer) {
     let begun = std::time::Instant::now();
