--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,7 +3,7 @@
 //! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design.md`.
 
 use crate::interface::*;
-use crate::state::{Attempt, Fleet, Rate, Request, Server, Tokens, Usual};
+use crate::state::{Attempt, Fleet, Levels, Rate, Request, Server, Tokens, Usual};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -42,6 +42,7 @@
     sends: f64,
     idle_signs: f64,
     busy: f64,
+    in_time: Levels,
     probe_tokens: f64,
     retry_tokens: f64,
     /// Requests that arrived, over a minute; work that arrived, and work answered by warm servers.
@@ -73,6 +74,7 @@
             sends: 1.0,
             idle_signs: 1.0,
             busy: 0.5,
+            in_time: Levels::new(1, 0.25),
             probe_tokens: 0.0,
             retry_tokens: 1.0 / RETRY_SHARE,
             traffic: Rate::over(60.0),
@@ -231,7 +233,7 @@
     fn uncrowded(&self, mut among: Vec<ServerId>) -> Vec<ServerId> {
         let crowd = |id: &ServerId| self.crowd(&self.fleet[id]);
         let level = |id: &ServerId| crowd(id).round() as usize;
-        among.retain(|id| level(id) == 0 || self.fleet[id].in_time.share(level(id)) >= 0.5);
+        among.retain(|id| level(id) == 0 || self.in_time.share(level(id)) >= 0.5);
         let average = among.iter().map(crowd).sum::<f64>() / among.len() as f64 + 1e-9;
         among.retain(|id| crowd(id) <= average);
         among
@@ -367,18 +369,17 @@
         }
         let late = overdue && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         match end.outcome {
-            Outcome::Served if !tight => self.fleet.modify(server, |s| s.in_time.raise(crowd, SMOOTH)),
+            Outcome::Served if !tight => self.in_time.raise(crowd, SMOOTH),
             _ if late || matches!(end.outcome, Outcome::Served | Outcome::Rejected) => {
-                self.fleet.modify(server, |s| s.in_time.lower(crowd, SMOOTH))
+                self.in_time.lower(crowd, SMOOTH)
             }
             _ => {}
         }
         match end.outcome {
             Outcome::Served => self.judge(server, if tight { 0.5 } else { 0.0 }, SMOOTH * 2.0),
             Outcome::ConnectFailed => self.judge(server, 1.0, 0.5),
-            _ if late || matches!(end.outcome, Outcome::Error | Outcome::Reset) => {
-                self.judge(server, 1.0, SMOOTH * 2.0)
-            }
+            Outcome::Error | Outcome::Reset => self.judge(server, 1.0, SMOOTH * 2.0),
+            _ if late => self.judge(server, 1.0, SMOOTH * 2.0),
             _ => {}
         }
     }
@@ -495,9 +496,8 @@
         if request.copy_at.is_some_and(|at| self.now >= at) {
             // Where few are idle, only if the first is likely lost: its server is silent or failed lately.
             let first = request.attempts.last().and_then(|a| self.fleet.get(&a.to.id));
-            let silent = |s: &Server| s.is_silent(self.now, 2.0 * self.answer_time);
-            let lost = first.is_some_and(|s| s.failing > SMOOTH / 2.0 || silent(s));
-            (request.copy_at, request.copying) = (None, lost || self.busy < 0.5);
+            let lost = |s: &Server| s.failing > SMOOTH / 2.0 || s.is_silent(self.now, 2.0 * self.answer_time);
+            (request.copy_at, request.copying) = (None, first.is_some_and(lost) || self.busy < 0.5);
             request.rounds = if self.settings.probes_tell() { 0 } else { ROUNDS };
         }
         self.dispatch(id, actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,7 +26,6 @@
     pub ejected: Option<Duration>,
     /// What it may still be sent while cold, in usual requests.
     pub credit: Tokens,
-    pub in_time: Levels,
 }
 
 impl Server {
@@ -131,13 +130,6 @@
 /// the last level counts as that.
 pub struct Levels([f64; 64]);
 
-impl Default for Levels {
-    /// To wait behind one other is the least that crowding can be: refused only on evidence.
-    fn default() -> Self {
-        Levels::new(1, 0.25)
-    }
-}
-
 impl Levels {
     /// Levels up to `open` start with a share of 1.
     pub fn new(open: usize, others: f64) -> Self {
