Make the repository a workspace: decisions, adapter and node are packages of their own

Need: every later front joins the same node, and tests and tools need its parts; one package with binaries could give neither, and the decision module pulled in hyper. Code is moved, not rewritten. The circle between backends.rs and discovery.rs is gone: Update and a backend's number live in listing.rs, Driver in driver.rs; the platform node's start-up is platform.rs.

--- a/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -1,5 +1,5 @@
-//! Every decision of larchspread. Types, events and actions: `src/interface.rs`; what a node remembers:
-//! `src/state.rs`. From top to bottom: who may be sent to, the pick, sending, what follows an outcome,
+//! Every decision of larchspread. Types, events and actions: `interface.rs`; what a node remembers:
+//! `state.rs`. From top to bottom: who may be sent to, the pick, sending, what follows an outcome,
 //! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design.md`.
 
 use crate::interface::*;
--- a/src/lib.rs
+++ b/crates/larchspread/src/lib.rs
@@ -33,8 +33,3 @@
 
 pub use balance::Balancer;
 pub use interface::*;
-
-/// The README's example, compiled as a test.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct Readme;
--- a/src/bin/marlwinch/backends.rs
+++ b/crates/marlwinch/src/backends.rs
@@ -1,6 +1,7 @@
 //! The backends' side: connections to each of them, one attempt or probe on one, how it ended, load reports.
 
-use crate::discovery::Update;
+use crate::driver::Driver;
+use crate::listing::Update;
 use crate::logging::Limited;
 use crate::watched::{Progress, Watched};
 use bytes::Bytes;
@@ -17,7 +18,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::error::Error;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -124,28 +124,6 @@
     }
 }
 
-/// A task that ends when this is dropped: one that moves a connection's bytes closes the socket with it.
-pub struct Driver(tokio::task::JoinHandle<()>);
-
-impl Driver {
-    pub fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
-        Driver(tokio::task::spawn_local(work))
-    }
-    pub fn of(connection: impl Future<Output = hyper::Result<()>> + 'static) -> Self {
-        Driver::spawn(async move {
-            if let Err(e) = connection.await {
-                debug!("a connection ended: {e}");
-            }
-        })
-    }
-}
-
-impl Drop for Driver {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 impl Backends {
     pub fn new(most: usize, settings: &Settings, idle_close: Duration, columns: Vec<Column>) -> Self {
         let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(Duration::MAX);
--- a/src/bin/marlwinch/clients.rs
+++ b/crates/marlwinch/src/clients.rs
@@ -410,7 +410,7 @@
 
 /// A number for the subject of a request, never 0, which stands for none.
 fn key_number(key: &str) -> u64 {
-    u64::from_str_radix(key, 16).unwrap_or_else(|_| crate::discovery::server_id(key).0).max(1)
+    u64::from_str_radix(key, 16).unwrap_or_else(|_| crate::listing::server_id(key).0).max(1)
 }
 
 fn too_large() -> Bad {
--- a/src/bin/marlwinch/config.rs
+++ b/crates/marlwinch/src/config.rs
@@ -1,6 +1,7 @@
 //! What the node is told at its start: the configuration file, and the variables that name it.
 
-use crate::discovery::{Roster, Update};
+use crate::discovery::Roster;
+use crate::listing::Update;
 use larchspread::settings::{self, HostSettings};
 use larchspread::{ListKind, Settings};
 use serde::Deserialize;
--- /dev/null
+++ b/crates/marlwinch/src/driver.rs
@@ -0,0 +1,26 @@
+//! A task that lives as long as its owner. Knows nothing of what the task does.
+
+use log::debug;
+use std::future::Future;
+
+/// A task that ends when this is dropped: one that moves a connection's bytes closes the socket with it.
+pub struct Driver(tokio::task::JoinHandle<()>);
+
+impl Driver {
+    pub fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
+        Driver(tokio::task::spawn_local(work))
+    }
+    pub fn of(connection: impl Future<Output = hyper::Result<()>> + 'static) -> Self {
+        Driver::spawn(async move {
+            if let Err(e) = connection.await {
+                debug!("a connection ended: {e}");
+            }
+        })
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- /dev/null
+++ b/crates/marlwinch/src/lib.rs
@@ -0,0 +1,15 @@
+//! marlwinch: a load-balancing node on real sockets. The decisions are the module's (`larchspread`); this library takes
+//! clients' requests, carries out what the module orders, and tells it what came of that.
+#![forbid(unsafe_code)]
+
+pub mod backends;
+pub mod clients;
+pub mod config;
+pub mod discovery;
+pub mod driver;
+mod heads;
+pub mod listing;
+pub mod logging;
+pub mod node;
+pub mod platform;
+mod watched;
--- a/src/bin/marlwinch/node.rs
+++ b/crates/marlwinch/src/node.rs
@@ -2,7 +2,7 @@
 //! carries out what that orders, in order. It decides nothing.
 
 use crate::backends::{Backends, Ended, Payload, Reply};
-use crate::discovery::Update;
+use crate::listing::Update;
 use larchspread::{
     Action, AttemptEnd, Balancer, Event, ListKind, NewRequest, Outcome, ProbeEnd, RequestId, ServerId,
 };
--- a/src/bin/marlwinch/main.rs
+++ b/crates/marlwinch/src/platform.rs
@@ -1,22 +1,15 @@
-//! marlwinch: a load-balancing node on real sockets. The decisions are the module's (`larchspread`); this program
-//! takes clients' requests, carries out what the module orders, and tells it what came of that.
-#![forbid(unsafe_code)]
+//! The platform's node: one thread, its configuration from the platform, its list from discovery. Joins the parts and
+//! answers to signals; what a part does is the part's own.
 
-mod backends;
-mod clients;
-mod config;
-mod discovery;
-mod heads;
-mod logging;
-mod node;
-mod watched;
-
-use backends::{Backends, Driver};
-use clients::{Clients, Connections};
-use config::Config;
+use crate::backends::Backends;
+use crate::clients::{Clients, Connections};
+use crate::config::{self, Config};
+use crate::discovery;
+use crate::driver::Driver;
+use crate::logging;
+use crate::node::Node;
 use larchspread::Balancer;
 use log::{error, info};
-use node::Node;
 use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -30,7 +23,8 @@
 /// What a client's connection holds without its request and answer: hyper's buffers for both sides and a head.
 const KIB_A_CLIENT: usize = 48;
 
-fn main() -> ExitCode {
+/// Runs the node that the platform's variables describe, until it is told to end.
+pub fn main() -> ExitCode {
     logging::start();
     let config = match config::load(|name| std::env::var(name).ok()) {
         Ok(config) => config,
@@ -114,7 +108,7 @@
         terminate.recv().await;
     };
     tokio::select! {
-        () = clients::serve(clients, listener, most_clients, end) => Ok(()),
+        () = crate::clients::serve(clients, listener, most_clients, end) => Ok(()),
         // It runs for as long as the clients' side holds its channel: this is a fault, and no request would be
         // answered any more.
         end = node => Err(format!("the node's task ended: {:?}", end.err())),
