--- a/crates/marlwinch/src/node.rs
+++ b/crates/marlwinch/src/node.rs
@@ -231,12 +231,12 @@
         if outcome != Outcome::Served {
             debug!("attempt {number} of {id:?} at {server:?}: {outcome:?} after {elapsed:?}");
         }
-        if let Some(reply) = reply {
-            if let Some(answer) = open.answer.take() {
-                self.figures.served += 1;
-                // A client that has left meanwhile is told of by its own event, which then finds nothing owed.
-                let _ = answer.send(Answer::Served(reply));
-            }
+        if let Some(reply) = reply
+            && let Some(answer) = open.answer.take()
+        {
+            self.figures.served += 1;
+            // A client that has left meanwhile is told of by its own event, which then finds nothing owed.
+            let _ = answer.send(Answer::Served(reply));
         }
         let finished = open.answer.is_none();
         self.figures.ends[outcome as usize] += 1;
