--- a/crates/larchspread/tests/world/mod.rs
+++ b/crates/larchspread/tests/world/mod.rs
@@ -87,6 +87,8 @@
     next_id: u64,
     /// Of the list it was told last.
     pub version: u32,
+    /// A hash (FNV-1a) of all that was told and done so far, in order.
+    pub stream: u64,
 }
 
 impl World {
@@ -107,6 +109,7 @@
             probes: Vec::new(),
             next_id: 1,
             version: 0,
+            stream: 0xcbf2_9ce4_8422_2325,
         }
     }
 
@@ -120,7 +123,11 @@
     /// Lets the node handle an event, obeys and checks what it does, and returns it.
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        let told = format!("{:?} {event:?}", self.now);
         self.balancer.handle(self.now, event, &mut actions);
+        for byte in format!("{told} {actions:?}").bytes() {
+            self.stream = (self.stream ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
         actions.iter().for_each(|action| self.obey(action));
         self.log.extend(actions.iter().cloned());
         actions
