Let each class say its attempts, times, back-off, copies and budget; settings may change

Need: the operator's file sets limits by class and route, and the decision module knew only those of the whole site. Change: Class has Terms (most attempts, time of one, outcomes that may be retried, back-off with jitter, second copies, budget, Retry-After); the default leaves all to the module as before. What no attempt can follow is answered at once, not after its back-off. Balancer::reconfigure takes other settings; a request in hand keeps the class it was taken under (state.rs, Classes).

--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -3,7 +3,7 @@
 //! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design.md`.
 
 use crate::interface::*;
-use crate::state::{Attempt, Fleet, Levels, Rate, Request, Server, Tokens, Usual};
+use crate::state::{Attempt, Classes, Fleet, Levels, Rate, Request, Server, Tokens, Usual};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -25,6 +25,7 @@
 /// The decisions of one node.
 pub struct Balancer {
     settings: Settings,
+    classes: Classes,
     now: Duration,
     fleet: Fleet,
     /// When the next cold server will be warm; what a warm one carries for this node a second.
@@ -83,10 +84,19 @@
             version: 0,
             ask_at: None,
             ask_wait: Duration::ZERO,
+            classes: Classes::new(&settings.classes),
             settings,
         }
     }
 
+    /// Other settings from now on. Requests in hand keep the class that they were taken under, whatever becomes of it;
+    /// what has been learnt of servers stays.
+    pub fn reconfigure(&mut self, settings: Settings) {
+        self.settings = settings.sane();
+        self.classes.replace(&self.settings.classes);
+        self.recount_at = self.now;
+    }
+
     /// Takes in what happened at `now` and adds what is to be done to `actions`, in order.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         let first = self.now.is_zero();
@@ -123,7 +133,7 @@
     /// Rule 2: what may have run is sent again only as its class allows.
     fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
-        match self.settings.classes[request.class].repeat {
+        match self.classes[request.class].repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
             Repeat::Keyed { scope, window } => {
@@ -137,6 +147,43 @@
         }
     }
 
+    /// What a further attempt at that time needs, whichever server it goes to. A class's own terms come on top of rule 2.
+    fn may_follow(&self, request: &Request, at: Duration) -> bool {
+        let (class, ran) = (&self.classes[request.class], request.attempts.iter().find(|a| a.may_have_run()));
+        let repeatable = ran.is_none_or(|first| match class.repeat {
+            Repeat::Safe => true,
+            Repeat::Unsafe => false,
+            Repeat::Keyed { window, .. } => at < first.sent + window,
+        });
+        let allowed = |a: &Attempt| a.outcome.is_none_or(|outcome| class.terms.retry_on.allows(outcome));
+        repeatable && at < request.until && self.has_room(request) && request.attempts.iter().all(allowed)
+    }
+
+    /// Whether a request may have one attempt more.
+    fn has_room(&self, request: &Request) -> bool {
+        let most =
+            self.classes[request.class].terms.max_attempts.unwrap_or(self.settings.limits.max_attempts);
+        request.attempts.len() < most as usize
+    }
+
+    /// Whether the budget allows one attempt more. Copies have one of their own where their class says how many.
+    fn has_budget(&self, request: &Request) -> bool {
+        let class = request.class;
+        match self.classes[class].terms.copies {
+            Copies::After { .. } if request.wants_copy() => self.classes.copies_left(class) >= 1.0,
+            _ => self.classes.retries_left(class, self.now).unwrap_or(self.retry_tokens) >= 1.0,
+        }
+    }
+
+    /// Takes a further attempt from the budget that has it.
+    fn spend(&mut self, class: usize, copy: bool) {
+        match self.classes[class].terms.copies {
+            Copies::After { .. } if copy => self.classes.spend_copy(class),
+            _ if self.classes[class].terms.budget.is_some() => self.classes.spend_retry(class, self.now),
+            _ => self.retry_tokens -= 1.0,
+        }
+    }
+
     /// Rule 4: a cold server is sent no more than this node's part of what it can take.
     fn cold_allows(&self, server: &Server, request: &Request) -> bool {
         self.warmth(server) >= 1.0 || self.credit(server) >= request.weight.max(1.0)
@@ -245,7 +292,10 @@
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).filter(|r| r.waits()) else { return };
         let (again, held) = (!request.attempts.is_empty(), self.held.contains(&id));
-        if self.now >= request.until || again && self.retry_tokens < 1.0 {
+        if request.resume_at.is_some_and(|at| self.now < at) && self.now < request.until {
+            return;
+        }
+        if self.now >= request.until || again && !self.has_budget(request) {
             return self.finish(id, actions);
         }
         let may_ask = !held && request.rounds < ROUNDS;
@@ -303,24 +353,36 @@
     fn send(&mut self, id: RequestId, to: ServerId, actions: &mut Vec<Action>) {
         let now = self.now;
         let (Some(request), Some(server)) = (self.requests.get(&id), self.fleet.get(&to)) else { return };
-        let room = request.attempts.len() < self.settings.limits.max_attempts as usize;
+        let room = self.has_room(request);
         if !request.waits() || now >= request.until || !room || !self.permitted(server, request) {
             return self.finish(id, actions);
         }
-        let timeout = request.until - now;
+        let terms = self.classes[request.class].terms;
+        let timeout = (request.until - now).min(terms.attempt_time.unwrap_or(Duration::MAX));
         let credit = Tokens::new(self.credit(server) - request.weight, now);
         let crowd = self.crowd(server).round() as usize;
         let attempt = Attempt { to: server.entry, sent: now, crowd, outcome: None };
         let first = request.attempts.is_empty();
-        self.retry_tokens -= if first { 0.0 } else { 1.0 };
+        let (class, copy) = (request.class, request.wants_copy());
+        let copies = request.copies + u32::from(copy);
         // Hedging, while a copy would be in time; not where all are so slow that most would have one.
         let work = request.cost.map_or(self.answer_time, |cost| cost.as_secs_f64());
-        let after = timeout.saturating_sub(Duration::from_secs_f64(1.5 * work));
-        let late = after.as_secs_f64() >= 1.5 * work;
-        let hedge = first && self.settings.limits.parallel_attempts && (late || self.busy < 0.5);
+        let near_end = timeout.saturating_sub(Duration::from_secs_f64(1.5 * work));
+        let late = near_end.as_secs_f64() >= 1.5 * work;
+        let (after, hedge) = match terms.copies {
+            Copies::Judged => {
+                (near_end, first && self.settings.limits.parallel_attempts && (late || self.busy < 0.5))
+            }
+            Copies::Never => (near_end, false),
+            Copies::After { after, most, .. } => (after, copies < most && after < timeout),
+        };
+        if !first {
+            self.spend(class, copy);
+        }
         self.requests.entry(id).and_modify(|r| {
             r.attempts.push(attempt);
-            (r.copying, r.copy_at) = (false, hedge.then_some(now + after));
+            (r.copying, r.copy_at, r.copies) = (false, hedge.then_some(now + after), copies);
+            r.resume_at = None;
         });
         self.fleet.modify(to, |s| s.sent(now, credit));
         actions.push(Action::Send { id, server: to, timeout });
@@ -341,6 +403,9 @@
         (end.server, end.elapsed) = (attempt.to.id, end.elapsed.min(Settings::LONGEST));
         let (crowd, weight) = (attempt.crowd, request.weight);
         let overdue = request.until <= self.now && end.elapsed.as_secs_f64() >= self.answer_time;
+        let given_up =
+            end.outcome == Outcome::TimedOut && self.classes[request.class].terms.attempt_time.is_some();
+        let overdue = overdue || given_up;
         // An answer in the last quarter of its time came with nothing to spare.
         let tight = 4 * end.elapsed > 3 * (request.until - attempt.sent);
         if let (0, Some(cost), true) = (crowd, request.cost, overdue || end.outcome == Outcome::Served) {
@@ -354,8 +419,34 @@
         if finished {
             self.close(end.id, actions);
         } else {
-            self.dispatch(end.id, actions);
+            self.go_on(end.id, actions);
+        }
+    }
+
+    /// What follows an attempt that brought no answer: another at once or after the back-off. Where none could be made
+    /// then, the request ends now.
+    fn go_on(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let terms = self.classes[request.class].terms;
+        if terms == Terms::default() || request.is_out() {
+            return self.dispatch(id, actions);
+        }
+        let wait = terms.back_off.map_or(Duration::ZERO, |back_off| {
+            let chance = back_off.jitter.min(1.0) * self.fleet.random();
+            back_off.longest_after(request.attempts.len() as u32).mul_f64(1.0 - chance)
+        });
+        let at = self.now + wait;
+        if !self.may_follow(request, at) || !self.has_budget(request) {
+            return self.finish(id, actions);
+        }
+        if wait.is_zero() {
+            return self.dispatch(id, actions);
+        }
+        if self.candidates(id).is_empty() {
+            return self.finish(id, actions);
         }
+        self.requests.entry(id).and_modify(|r| (r.resume_at, r.copy_at, r.copying) = (Some(at), None, false));
+        actions.push(Action::SetTimer { after: wait, token: id.0 });
     }
 
     /// Health, crowding and pace, from how an attempt ended.
@@ -428,11 +519,12 @@
         if request.is_out() && self.now < request.until {
             return; // What is out may still bring the answer.
         }
-        let harmless = match self.settings.classes[request.class].repeat {
+        let class = &self.classes[request.class];
+        let harmless = match class.repeat {
             Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
             _ => !request.attempts.iter().any(Attempt::may_have_run),
         };
-        let retry_after = self.settings.limits.max_retry_after;
+        let retry_after = class.terms.retry_after.or(self.settings.limits.max_retry_after);
         actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
         self.close(id, actions);
     }
@@ -447,6 +539,7 @@
         }
         request.done = true;
         if !request.is_out() {
+            self.classes.leave(request.class);
             self.requests.remove(&id);
         }
     }
@@ -457,8 +550,8 @@
         if self.requests.contains_key(&new.id) {
             return; // No id comes twice; whatever this is, the first one is still owed its answer.
         }
-        let class = new.class.min(self.settings.classes.len() - 1);
-        let terms = &self.settings.classes[class];
+        let class = self.classes.enter(new.class, self.now);
+        let terms = &self.classes[class];
         // The timer comes a tick late at most, and the answer must be there before the client leaves.
         let deadline = self.now + new.remaining.saturating_sub(2 * self.settings.tick);
         let stretch = new.cost.unwrap_or_default().mul_f64(terms.aim_stretch.min(1e3));
@@ -497,7 +590,11 @@
             // Where few are idle, only if the first is likely lost: its server is silent or failed lately.
             let first = request.attempts.last().and_then(|a| self.fleet.get(&a.to.id));
             let lost = |s: &Server| s.failing > SMOOTH / 2.0 || s.is_silent(self.now, 2.0 * self.answer_time);
-            (request.copy_at, request.copying) = (None, first.is_some_and(lost) || self.busy < 0.5);
+            let copy = match self.classes[request.class].terms.copies {
+                Copies::Judged => first.is_some_and(lost) || self.busy < 0.5,
+                _ => request.is_out() && self.classes.copies_left(request.class) >= 1.0,
+            };
+            (request.copy_at, request.copying) = (None, copy);
             request.rounds = if self.settings.probes_tell() { 0 } else { ROUNDS };
         }
         self.dispatch(id, actions);
--- a/crates/larchspread/src/interface.rs
+++ b/crates/larchspread/src/interface.rs
@@ -9,6 +9,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
+impl ServerId {
+    /// The number of a server that has a name: a hash of it (FNV-1a), so that it outlives restarts of the node and
+    /// changes of address, and is the same at every node.
+    pub fn named(name: &str) -> Self {
+        ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+        }))
+    }
+}
+
 /// A request that this node has taken. Never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
@@ -63,6 +73,112 @@
     pub repeat: Repeat,
     /// Whether answers are streamed, so that [`Event::Started`] arrives.
     pub streamed: bool,
+    /// How its attempts are made, where that is not left to the module.
+    pub terms: Terms,
+}
+
+/// How the attempts of a class are made. The default leaves everything to the module and the site's [`Limits`]. None of
+/// this loosens a rule: [`Repeat`] and the deadline bind whatever is said here.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Terms {
+    /// The most attempts for a request, copies included; `None` for those of [`Limits`].
+    pub max_attempts: Option<u32>,
+    /// The longest that one attempt may take; `None` for as long as the request has.
+    pub attempt_time: Option<Duration>,
+    /// After which outcomes another attempt may follow.
+    pub retry_on: RetryOn,
+    /// The wait before that; `None` for none.
+    pub back_off: Option<BackOff>,
+    /// Second copies while an attempt is out.
+    pub copies: Copies,
+    /// The budget of further attempts; `None` for the one that all such classes share.
+    pub budget: Option<Budget>,
+    /// What a refused client is told to wait; `None` for what [`Limits`] say.
+    pub retry_after: Option<Duration>,
+}
+
+/// The outcomes after which another attempt may be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryOn {
+    /// It certainly never ran: [`Outcome::never_ran`].
+    pub never_ran: bool,
+    /// The server answered with an error.
+    pub error: bool,
+    /// The connection broke.
+    pub reset: bool,
+    /// The attempt's time was over.
+    pub timed_out: bool,
+}
+
+impl Default for RetryOn {
+    /// After each of them.
+    fn default() -> Self {
+        RetryOn { never_ran: true, error: true, reset: true, timed_out: true }
+    }
+}
+
+impl RetryOn {
+    /// Whether it names an outcome after which the request may have run.
+    pub fn may_have_run(self) -> bool {
+        self.error || self.reset || self.timed_out
+    }
+
+    /// Whether another attempt may follow this outcome.
+    pub fn allows(self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Error => self.error,
+            Outcome::Reset => self.reset,
+            Outcome::TimedOut => self.timed_out,
+            outcome => !outcome.never_ran() || self.never_ran,
+        }
+    }
+}
+
+/// The wait before another attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackOff {
+    /// Before the second attempt; twice that before the third, and so on.
+    pub first: Duration,
+    /// It grows no longer than this.
+    pub longest: Duration,
+    /// The fraction of it that chance may take off.
+    pub jitter: f64,
+}
+
+impl BackOff {
+    /// The longest wait after so many attempts, at least one.
+    pub fn longest_after(&self, attempts: u32) -> Duration {
+        let factor = 1u32.checked_shl(attempts.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.first.saturating_mul(factor).min(self.longest)
+    }
+}
+
+/// Second copies of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Copies {
+    /// As the module judges, where [`Limits`] permit two attempts at once.
+    #[default]
+    Judged,
+    /// None.
+    Never,
+    /// So long after the attempt before, while that is out.
+    After {
+        /// How long.
+        after: Duration,
+        /// The most for a request.
+        most: u32,
+        /// The most as a fraction of the class's requests.
+        share: f64,
+    },
+}
+
+/// How many further attempts there may be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// As a fraction of the class's requests.
+    pub share: f64,
+    /// And so many a second, whatever the traffic.
+    pub per_s: f64,
 }
 
 /// How far a request may be repeated once an attempt may have run.
@@ -467,6 +583,20 @@
             if let Repeat::Keyed { window, .. } = &mut class.repeat {
                 times.push(window);
             }
+            let terms = &mut class.terms;
+            terms.max_attempts = terms.max_attempts.map(|most| most.max(1));
+            times.extend(terms.attempt_time.iter_mut().chain(&mut terms.retry_after));
+            if let Some(back_off) = &mut terms.back_off {
+                times.extend([&mut back_off.first, &mut back_off.longest]);
+                figures.push(&mut back_off.jitter);
+            }
+            if let Copies::After { after, share, .. } = &mut terms.copies {
+                times.push(after);
+                figures.push(share);
+            }
+            if let Some(budget) = &mut terms.budget {
+                figures.extend([&mut budget.share, &mut budget.per_s]);
+            }
         }
         for tenant in &mut self.tenants {
             figures.extend([&mut tenant.allowance_per_s, &mut tenant.share]);
@@ -499,6 +629,7 @@
                 late_worth: 0.0,
                 repeat: Repeat::Safe,
                 streamed: false,
+                terms: Terms::default(),
             }],
             tenants: Vec::new(),
             over_share_worth: 1.0,
--- a/crates/larchspread/src/settings.rs
+++ b/crates/larchspread/src/settings.rs
@@ -1,7 +1,9 @@
 //! The settings that a node is given: JSON in the wire's words, turned into the module's [`Settings`] and what its
 //! host needs besides. The adapter reads them from a `spawn`, the node from its configuration.
 
-use crate::{Class, Goal, Limits, LoadReport, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant};
+use crate::{
+    Class, Goal, Limits, LoadReport, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant, Terms,
+};
 use serde::Deserialize;
 use serde::de::IntoDeserializer;
 use serde::de::value::StrDeserializer;
@@ -341,6 +343,7 @@
             Idempotency::SingleShot => Repeat::Unsafe,
         },
         streamed: raw.stream,
+        terms: Terms::default(),
     }
 }
 
--- a/crates/larchspread/src/state.rs
+++ b/crates/larchspread/src/state.rs
@@ -61,6 +61,7 @@
 /// A request that is owed an answer, or some of whose attempts are still out.
 #[derive(Default)]
 pub struct Request {
+    /// The slot of its class.
     pub class: usize,
     pub cost: Option<Duration>,
     /// Its work in units of the usual request's.
@@ -71,9 +72,12 @@
     /// Rounds of probes that it has had.
     pub rounds: u32,
     pub streaming: bool,
-    /// When a second copy is due, and whether one may go out now.
+    /// When a second copy is due, whether one may go out now, and how many have.
     pub copy_at: Option<Duration>,
     pub copying: bool,
+    pub copies: u32,
+    /// Until when its back-off lasts.
+    pub resume_at: Option<Duration>,
     pub done: bool,
 }
 
@@ -85,6 +89,110 @@
     pub fn is_out(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome.is_none())
     }
+    /// Whether what it waits for is a second copy, not another attempt after the last.
+    pub fn wants_copy(&self) -> bool {
+        self.copying && self.is_out()
+    }
+}
+
+/// The classes as they stand, and those of earlier settings that requests in hand were taken under.
+pub struct Classes {
+    slots: Vec<Slot>,
+    /// The slot of each class that events name by position.
+    current: Vec<usize>,
+}
+
+/// A class with what is left of its budgets.
+struct Slot {
+    class: Class,
+    current: bool,
+    requests: usize,
+    retries: Tokens,
+    copies: Tokens,
+}
+
+impl Classes {
+    /// What a budget may save up, beside a second of what it is given each second.
+    const SAVED: f64 = 10.0;
+
+    pub fn new(classes: &[Class]) -> Self {
+        let mut all = Classes { slots: Vec::new(), current: Vec::new() };
+        all.replace(classes);
+        all
+    }
+    /// Other classes from now on. One that stays the same keeps its budgets; one that has gone is kept for as long as a
+    /// request is in hand that was taken under it.
+    pub fn replace(&mut self, classes: &[Class]) {
+        self.slots.iter_mut().for_each(|slot| slot.current = false);
+        self.current.clear();
+        for class in classes {
+            let same = self.slots.iter().position(|slot| !slot.current && slot.class == *class);
+            let free = || self.slots.iter().position(|slot| !slot.current && slot.requests == 0);
+            let at = same.or_else(free).unwrap_or(self.slots.len());
+            if same.is_none() {
+                // One further attempt is there from the start.
+                let tokens = Tokens::new(1.0, Duration::ZERO);
+                let slot = Slot {
+                    class: class.clone(),
+                    current: true,
+                    requests: 0,
+                    retries: tokens,
+                    copies: tokens,
+                };
+                if at == self.slots.len() { self.slots.push(slot) } else { self.slots[at] = slot }
+            }
+            self.slots[at].current = true;
+            self.current.push(at);
+        }
+    }
+    /// Takes in a request of a class that events name so; returns its slot. What it pays into the budgets is in them.
+    pub fn enter(&mut self, class: usize, now: Duration) -> usize {
+        let at = self.current[class.min(self.current.len() - 1)];
+        let slot = &mut self.slots[at];
+        slot.requests += 1;
+        if let Some(budget) = slot.class.terms.budget {
+            let most = Self::SAVED + budget.per_s;
+            if slot.retries.at.is_zero() {
+                slot.retries.at = now; // Nothing is saved up before the first request.
+            }
+            slot.retries = slot.retries.after(now, budget.per_s, most);
+            slot.retries.left = (slot.retries.left + budget.share).min(most);
+        }
+        if let Copies::After { share, .. } = slot.class.terms.copies {
+            slot.copies.left = (slot.copies.left + share).min(Self::SAVED);
+        }
+        at
+    }
+    pub fn leave(&mut self, slot: usize) {
+        self.slots[slot].requests -= 1;
+    }
+    /// What is left for further attempts; `None` if the class has no budget of its own.
+    pub fn retries_left(&self, slot: usize, now: Duration) -> Option<f64> {
+        let budget = self.slots[slot].class.terms.budget?;
+        Some(self.slots[slot].retries.after(now, budget.per_s, Self::SAVED + budget.per_s).left)
+    }
+    pub fn spend_retry(&mut self, slot: usize, now: Duration) {
+        let left = self.retries_left(slot, now).unwrap_or_default();
+        self.slots[slot].retries = Tokens::new(left - 1.0, now);
+    }
+    pub fn copies_left(&self, slot: usize) -> f64 {
+        self.slots[slot].copies.left
+    }
+    pub fn spend_copy(&mut self, slot: usize) {
+        self.slots[slot].copies.left -= 1.0;
+    }
+    /// Slots in use or kept for later.
+    #[cfg(test)]
+    pub fn slots(&self) -> usize {
+        self.slots.len()
+    }
+}
+
+impl Index<usize> for Classes {
+    type Output = Class;
+    fn index(&self, slot: usize) -> &Class {
+        &self.slots[slot].class
+    }
 }
 
 /// How much of something there was lately, forgotten over a fixed time in seconds.
@@ -288,3 +396,40 @@
         &self.servers[id]
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_class_that_has_gone_is_kept_while_a_request_is_in_hand_and_no_longer() {
+        let class = |aim| Class { aim: Duration::from_millis(aim), ..Settings::default().classes[0].clone() };
+        let mut classes = Classes::new(&[class(1), class(2)]);
+        let slot = classes.enter(1, Duration::ZERO);
+        for round in 0..100 {
+            classes.replace(&[class(1), class(3 + round)]);
+            assert_eq!(classes[slot], class(2), "as it was when the request was taken");
+            assert_eq!(classes.enter(0, Duration::ZERO), 0, "a class that stays keeps its slot");
+            classes.leave(0);
+        }
+        classes.leave(slot);
+        classes.replace(&[class(1), class(2), class(4)]);
+        assert!(classes.slots() <= 4, "{} slots", classes.slots());
+    }
+
+    #[test]
+    fn a_budget_grows_with_requests_and_with_time_and_not_without_end() {
+        let mut class = Settings::default().classes[0].clone();
+        class.terms.budget = Some(Budget { share: 0.5, per_s: 2.0 });
+        let mut classes = Classes::new(&[class]);
+        let left = |classes: &Classes, s| classes.retries_left(0, Duration::from_secs(s));
+        assert_eq!(left(&classes, 0), Some(1.0));
+        classes.enter(0, Duration::ZERO);
+        assert_eq!(
+            (left(&classes, 0), left(&classes, 1), left(&classes, 100)),
+            (Some(1.5), Some(3.5), Some(12.0))
+        );
+        classes.spend_retry(0, Duration::from_secs(1));
+        assert_eq!(left(&classes, 1), Some(2.5));
+    }
+}
