--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -1,6 +1,6 @@
 //! Every decision of larchspread. Types, events and actions: `interface.rs`; what a node remembers:
 //! `state.rs`. From top to bottom: who may be sent to, the pick, sending, what follows an outcome,
-//! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design.md`.
+//! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design/node.md`.
 
 use crate::interface::*;
 use crate::state::{Attempt, Classes, Fleet, Levels, Rate, Request, Server, Tokens, Usual};
--- /dev/null
+++ b/crates/marlwinch/src/admit.rs
@@ -0,0 +1,98 @@
+//! The limits of the operator's file on sockets' side: asks `operator::admission`, waits where that says so, and gives the
+//! place back however the request ends.
+
+use hyper::StatusCode;
+use operator::admission::{Admission, Limit, Verdict, Why};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+/// All places that requests in hand may take.
+#[derive(Clone, Default)]
+pub struct Places(Rc<State>);
+
+struct State {
+    admission: RefCell<Admission>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<()>>>,
+    started: Instant,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        State { admission: RefCell::default(), waiting: RefCell::default(), started: Instant::now() }
+    }
+}
+
+impl State {
+    fn wake(&self, id: u64) {
+        if let Some(sender) = self.waiting.borrow_mut().remove(&id) {
+            // Whoever has stopped waiting meanwhile gives the place back by itself.
+            let _ = sender.send(());
+        }
+    }
+}
+
+/// A place that is held. Dropping it gives it to the next.
+pub struct Place {
+    state: Rc<State>,
+    id: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.state.waiting.borrow_mut().remove(&self.id);
+        let next = self.state.admission.borrow_mut().done(self.id);
+        if let Some(next) = next {
+            self.state.wake(next);
+        }
+    }
+}
+
+impl Places {
+    /// Other limits from now on.
+    pub fn replace(&self, limits: &[Limit], tenants: &[String]) {
+        let woken = self.0.admission.borrow_mut().replace(limits, tenants);
+        woken.into_iter().for_each(|id| self.0.wake(id));
+    }
+
+    /// Waits for a place, as long as the limit's queue allows. A refusal says with which status and when to come back.
+    pub async fn admit(
+        &self,
+        (limit, tenant): (usize, Option<usize>),
+        id: u64,
+    ) -> Result<Option<Place>, (StatusCode, Duration)> {
+        let now = self.0.started.elapsed();
+        let verdict = self.0.admission.borrow_mut().arrive(now, limit, tenant, id);
+        let until = match verdict {
+            Verdict::Go => return Ok(Some(Place { state: self.0.clone(), id })),
+            Verdict::Refuse { why: Why::Rate, retry_after } => {
+                return Err((StatusCode::TOO_MANY_REQUESTS, retry_after));
+            }
+            Verdict::Refuse { why: Why::Full, retry_after } => {
+                return Err((StatusCode::SERVICE_UNAVAILABLE, retry_after));
+            }
+            Verdict::Wait { until } => until,
+        };
+        let (sender, woken) = oneshot::channel();
+        self.0.waiting.borrow_mut().insert(id, sender);
+        // From here on the place, or that in the queue, is given back even if the client leaves.
+        let place = Place { state: self.0.clone(), id };
+        tokio::select! {
+            biased;
+            Ok(()) = woken => Ok(Some(place)),
+            () = sleep_until(self.0.started + until) => {
+                drop(place);
+                // It had its time in the queue; the next try finds a shorter one or none.
+                Err((StatusCode::SERVICE_UNAVAILABLE, Duration::from_secs(1)))
+            }
+        }
+    }
+
+    /// Requests that are counted now, and those of them that wait.
+    pub fn counts(&self) -> (usize, usize) {
+        self.0.admission.borrow().counts()
+    }
+}
--- a/crates/marlwinch/src/backends.rs
+++ b/crates/marlwinch/src/backends.rs
@@ -1,6 +1,7 @@
 //! The backends' side: connections to each of them, one attempt or probe on one, how it ended, load reports.
 
 use crate::driver::Driver;
+use crate::headers::TIME_LEFT;
 use crate::listing::Update;
 use crate::logging::Limited;
 use crate::watched::{Progress, Watched};
@@ -20,7 +21,7 @@
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
@@ -37,8 +38,6 @@
 /// connection; later it could pass for the next answer.
 const REST: Duration = Duration::from_millis(3);
 
-pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
-pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
@@ -49,11 +48,32 @@
     pub target: PathAndQuery,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// How long is waited for what makes no progress; `None` for what holds for all.
+    pub patience: Option<Patience>,
+}
+
+/// How long is waited for a backend that makes no progress.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// For a connection to come up.
+    pub connect: Duration,
+    /// For an answer that has begun to come whole.
+    pub stall: Duration,
+}
+
+/// What counts as served, and is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// Answers 200 alone.
+    Ok,
+    /// Whatever is no failure of the backend: all below 500, but for 429, which would be a refusal of what may have run.
+    NoFailures,
 }
 
 /// A backend's whole answer to a request that it served.
 #[derive(Debug)]
 pub struct Reply {
+    pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
 }
@@ -81,16 +101,44 @@
     pub stale: Cell<u64>,
 }
 
-/// The connections to all backends.
-pub struct Backends {
-    pools: RefCell<HashMap<ServerId, Pool>>,
+type Pools = HashMap<ServerId, Pool>;
+
+/// The sockets that all clusters' connections share. Whoever needs one when none is left closes the connection that has
+/// stood idle for longest, whichever cluster's it is.
+pub struct Sockets {
     /// Connections that are open, and the most that there may be.
     open: Rc<Cell<usize>>,
     most: usize,
+    pools: RefCell<Vec<Weak<RefCell<Pools>>>>,
+}
+
+impl Sockets {
+    pub fn new(most: usize) -> Self {
+        Sockets { open: Rc::default(), most, pools: RefCell::default() }
+    }
+
+    /// Makes room by closing the connection that has stood idle for longest.
+    fn evict(&self) -> bool {
+        let all: Vec<_> = self.pools.borrow().iter().filter_map(Weak::upgrade).collect();
+        let oldest = |pools: &Pools| pools.values().filter_map(|pool| Some(pool.idle.first()?.1)).min();
+        let of = all.iter().filter_map(|pools| Some((oldest(&pools.borrow())?, pools)));
+        let Some((at, pools)) = of.min_by_key(|(at, _)| *at) else { return false };
+        let mut pools = pools.borrow_mut();
+        let pool = pools.values_mut().find(|pool| pool.idle.first().is_some_and(|(_, since)| *since == at));
+        pool.map(|pool| pool.idle.remove(0)).is_some()
+    }
+}
+
+/// The connections to the backends of a cluster.
+pub struct Backends {
+    pools: Rc<RefCell<Pools>>,
+    sockets: Rc<Sockets>,
+    passed: Passed,
     probe_timeout: Duration,
-    /// How long a connection may take to come up, and an answer that has begun to come whole. Guards against machines
-    /// that say nothing: who waits for them to the end of a request's time has none left for another attempt.
-    patience: Duration,
+    /// How long a connection may take to come up, and an answer that has begun to come whole, where a request does not
+    /// say. Guards against machines that say nothing: who waits for them to the end of a request's time has none left for
+    /// another attempt.
+    patience: Patience,
     /// Idle connections are dropped after this time, well before the backend would.
     idle_after: Duration,
     columns: Vec<Column>,
@@ -125,15 +173,27 @@
 }
 
 impl Backends {
-    pub fn new(most: usize, settings: &Settings, idle_close: Duration, columns: Vec<Column>) -> Self {
+    pub fn new(
+        sockets: Rc<Sockets>,
+        passed: Passed,
+        settings: &Settings,
+        idle_close: Duration,
+        columns: Vec<Column>,
+    ) -> Self {
         let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(Duration::MAX);
         let connect_timeout = settings.limits.connect_timeout;
+        let patience = connect_timeout.min(aim / PATIENCE);
+        let pools = Rc::new(RefCell::default());
+        let mut known = sockets.pools.borrow_mut();
+        known.retain(|pools| pools.strong_count() > 0);
+        known.push(Rc::downgrade(&pools));
+        drop(known);
         Backends {
-            pools: RefCell::default(),
-            open: Rc::default(),
-            most,
+            pools,
+            sockets,
+            passed,
             probe_timeout: connect_timeout,
-            patience: connect_timeout.min(aim / PATIENCE),
+            patience: Patience { connect: patience, stall: patience },
             idle_after: idle_close / 2,
             columns,
             bad_report: Limited::default(),
@@ -143,7 +203,7 @@
 
     /// Connections that are open now.
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.sockets.open.get()
     }
 
     /// Whether there is a backend on the list.
@@ -207,7 +267,9 @@
             *request.headers_mut() = headers.clone();
             request
         };
-        self.exchange(server, request, payload.body.len(), deadline).await
+        let patience = payload.patience.unwrap_or(self.patience);
+        let expects = (payload.method == Method::HEAD, payload.body.len());
+        self.exchange(server, request, expects, deadline, patience).await
     }
 
     /// Asks a backend for its load. The time for a connection is also that for the answer.
@@ -218,7 +280,8 @@
             request.headers_mut().insert(header::HOST, HeaderValue::from_static("backend"));
             request
         };
-        let mut ended = self.exchange(server, request, 0, Instant::now() + self.probe_timeout).await;
+        let deadline = Instant::now() + self.probe_timeout;
+        let mut ended = self.exchange(server, request, (false, 0), deadline, self.patience).await;
         if let (None, Some(reply)) = (&ended.report, &ended.reply) {
             ended.report = self.report(&reply.body);
         }
@@ -229,8 +292,9 @@
         &self,
         server: ServerId,
         request: impl Fn() -> Request<Full<Bytes>>,
-        body: usize,
+        (head_only, body): (bool, usize),
         deadline: Instant,
+        patience: Patience,
     ) -> Ended {
         // What has become of the request stays known when the time is up and the rest is dropped.
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::default();
@@ -243,7 +307,7 @@
                         sleep_until(rested).await;
                         continue;
                     }
-                    Err(None) => match self.connect(server).await {
+                    Err(None) => match self.connect(server, patience.connect).await {
                         Ok(connection) => (connection, false),
                         Err(outcome) => return Ended::bare(outcome),
                     },
@@ -254,14 +318,14 @@
                 let answer = tokio::select! {
                     biased;
                     answer = connection.sender.send_request(request()) => answer,
-                    () = watch.stalls(self.patience) => return self.spoilt(server, &"its head does not end"),
+                    () = watch.stalls(patience.stall) => return self.spoilt(server, &"its head does not end"),
                 };
                 match answer {
                     Ok(answer) => {
                         return tokio::select! {
                             biased;
-                            ended = self.answered(server, connection, answer) => ended,
-                            () = watch.stalls(self.patience) => self.spoilt(server, &"its body does not end"),
+                            ended = self.answered(server, connection, answer, head_only) => ended,
+                            () = watch.stalls(patience.stall) => self.spoilt(server, &"its body does not end"),
                         };
                     }
                     Err(e) => {
@@ -299,11 +363,20 @@
     }
 
     /// Reads an answer to its end. Whatever is not understood is an outcome too: the request may have run.
-    async fn answered(&self, server: ServerId, connection: Connection, answer: Response<Incoming>) -> Ended {
+    async fn answered(
+        &self,
+        server: ServerId,
+        connection: Connection,
+        answer: Response<Incoming>,
+        head_only: bool,
+    ) -> Ended {
         let (mut head, body) = answer.into_parts();
         // The report is for this node and goes no further.
         let report = head.headers.remove(LOAD).and_then(|value| self.report(value.as_bytes()));
-        if let Err(what) = framed(&head.headers) {
+        // These end with their heads, whatever those say of a length.
+        let bodiless = head_only || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let bodiless = bodiless && self.passed == Passed::NoFailures;
+        if !bodiless && let Err(what) = framed(&head.headers) {
             return Ended { report, ..self.spoilt(server, &what) };
         }
         if body.size_hint().lower() > LARGEST_BODY as u64 {
@@ -318,15 +391,23 @@
             Err(e) => return Ended { report, ..self.spoilt(server, &e) },
         };
         let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|value| value == "1");
+        let all = self.passed == Passed::NoFailures;
         let outcome = match head.status {
             StatusCode::OK => Outcome::Served,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Rejected,
+            StatusCode::TOO_MANY_REQUESTS if unprocessed && all => Outcome::Rejected,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SWITCHING_PROTOCOLS => Outcome::Error,
+            status if all && status.as_u16() < 500 => Outcome::Served,
             _ => Outcome::Error,
         };
         if connection.progress.is_complete() && head.status != StatusCode::SWITCHING_PROTOCOLS {
             self.keep(server, connection);
         }
-        let reply = (outcome == Outcome::Served).then_some(Reply { headers: head.headers, body });
+        let reply = (outcome == Outcome::Served).then_some(Reply {
+            status: head.status,
+            headers: head.headers,
+            body,
+        });
         Ended { outcome, report, reply }
     }
 
@@ -355,16 +436,17 @@
         }
     }
 
-    async fn connect(&self, server: ServerId) -> Result<Connection, Outcome> {
+    async fn connect(&self, server: ServerId, patience: Duration) -> Result<Connection, Outcome> {
         // An id that the list no longer has was never sent to.
         let address = self.pools.borrow().get(&server).map(|pool| pool.address).ok_or(Outcome::NotSent)?;
-        if self.open.get() >= self.most && !self.evict() {
+        let open = &self.sockets.open;
+        if open.get() >= self.sockets.most && !self.sockets.evict() {
             return Err(Outcome::NotSent);
         }
-        self.open.set(self.open.get() + 1);
-        let open = OpenOne(self.open.clone());
+        open.set(open.get() + 1);
+        let open = OpenOne(open.clone());
         self.counters.opened.set(self.counters.opened.get() + 1);
-        let connected = timeout(self.patience, async {
+        let connected = timeout(patience, async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             Ok::<_, io::Error>(stream)
@@ -386,14 +468,6 @@
         Ok(Connection { sender, progress, address, _driver: Driver::of(driver), _open: open })
     }
 
-    /// Makes room by closing the connection that has stood idle for longest.
-    fn evict(&self) -> bool {
-        let mut pools = self.pools.borrow_mut();
-        let oldest =
-            pools.values_mut().filter(|pool| !pool.idle.is_empty()).min_by_key(|pool| pool.idle[0].1);
-        oldest.map(|pool| pool.idle.remove(0)).is_some()
-    }
-
     /// Reads a load report, `concurrent=7,depth=2`. What can't be read is logged and passed over.
     fn report(&self, text: &[u8]) -> Option<LoadReport> {
         let report = std::str::from_utf8(text).ok().and_then(|text| load_report(text, &self.columns));
--- /dev/null
+++ b/crates/marlwinch/src/cli.rs
@@ -0,0 +1,142 @@
+//! The command line: what each command is asked and how it answers. The work is done elsewhere.
+
+use crate::{faults, file_node, file_source, logging, platform};
+use clap::{Parser, Subcommand};
+use hyper::Method;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use log::error;
+use operator::explain::{Asked, explain};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// The node could not start or go on.
+const FAILED: u8 = 1;
+/// The file is refused. 2 is clap's, for a command line that makes no sense.
+const REFUSED: u8 = 3;
+/// No route takes the request that is to be explained.
+const NO_ROUTE: u8 = 4;
+
+const ABOUT: &str =
+    "A load-balancing node: it takes clients' requests, sends each to a box by Join-Up-To(m), and sees to \
+repeats, refusals, drains and cold boxes.
+
+With no command it is the platform's node: ROUTER_CONFIG names its configuration, as README.md says.";
+
+const AFTER: &str = "\
+Exit codes:
+  0  all is well
+  1  the node could not start, or could not go on
+  2  the command line makes no sense
+  3  the operator's file is refused
+  4  no route takes the request that was to be explained
+
+Examples:
+  marlwinch check deploy/example.toml
+  marlwinch explain deploy/example.toml POST /tally-submit/7f3a -H 'Idempotency-Key: 1'
+  marlwinch run deploy/example.toml
+
+A running node takes its file in anew on SIGHUP, whole or not at all, and ends on SIGTERM or SIGINT once all that it has
+taken is answered. It logs to standard error; MARLWINCH_LOG=debug shows each attempt that fails.";
+
+#[derive(Parser)]
+#[command(name = "marlwinch", version, about = ABOUT, after_help = AFTER, max_term_width = 110)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a node from an operator's file alone, with the boxes listed in it
+    Run {
+        /// The operator's file (TOML); docs/operators/file.md has every key
+        file: PathBuf,
+    },
+    /// Check an operator's file: every fault with its place, the rule it would break, and what to write instead
+    Check {
+        /// The operator's file
+        file: PathBuf,
+        /// Print one JSON object, to standard output
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show what would become of a request: its route, class and limits, and every attempt that could be made
+    Explain {
+        /// The operator's file
+        file: PathBuf,
+        /// The request's method
+        method: Method,
+        /// Its path, perhaps with a query, as a client would send it
+        path: String,
+        /// A header of the request, as `Name: value`; may be given more than once
+        #[arg(short = 'H', long = "header", value_name = "HEADER", value_parser = header)]
+        headers: Vec<(HeaderName, HeaderValue)>,
+    },
+}
+
+fn header(text: &str) -> Result<(HeaderName, HeaderValue), String> {
+    let (name, value) = text.split_once(':').ok_or("write it as `Name: value`")?;
+    let name = HeaderName::from_bytes(name.trim().as_bytes()).map_err(|e| e.to_string())?;
+    let value = HeaderValue::from_str(value.trim()).map_err(|e| e.to_string())?;
+    Ok((name, value))
+}
+
+/// Does what the command line says.
+pub fn main() -> ExitCode {
+    match Arguments::parse().command {
+        None => platform::main(),
+        Some(Command::Run { file }) => run(&file),
+        Some(Command::Check { file, json }) => check(&file, json),
+        Some(Command::Explain { file, method, path, headers }) => explained(&file, &method, &path, headers),
+    }
+}
+
+fn run(file: &Path) -> ExitCode {
+    logging::start();
+    match file_node::run(file) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(file_node::RunError::Refused(refused)) => {
+            eprint!("{}", faults::text(file, &refused));
+            ExitCode::from(REFUSED)
+        }
+        Err(file_node::RunError::Failed(what)) => {
+            error!("{what}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn check(file: &Path, json: bool) -> ExitCode {
+    let refused = file_source::load(file).err();
+    if json {
+        println!("{}", faults::json(file, refused.as_ref()));
+    } else if let Some(refused) = &refused {
+        eprint!("{}", faults::text(file, refused));
+    }
+    if refused.is_some() { ExitCode::from(REFUSED) } else { ExitCode::SUCCESS }
+}
+
+fn explained(file: &Path, method: &Method, path: &str, headers: Vec<(HeaderName, HeaderValue)>) -> ExitCode {
+    let source = match file_source::load(file) {
+        Ok(source) => source,
+        Err(refused) => {
+            eprint!("{}", faults::text(file, &refused));
+            return ExitCode::from(REFUSED);
+        }
+    };
+    let mut all = HeaderMap::new();
+    for (name, value) in headers {
+        all.append(name, value);
+    }
+    let asked = Asked { method, target: path, headers: &all };
+    match explain(&source.loaded.plan, &source.loaded.file, &source.text, &asked) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(NO_ROUTE)
+        }
+    }
+}
--- a/crates/marlwinch/src/clients.rs
+++ b/crates/marlwinch/src/clients.rs
@@ -1,25 +1,32 @@
 //! The clients' side: connections that are taken, requests that become events, final answers that go back.
 
-use crate::backends::{CORRELATION, LARGEST_BODY, LARGEST_HEAD, Payload, Reply, TIME_LEFT};
+use crate::admit::Places;
+use crate::backends::{LARGEST_BODY, LARGEST_HEAD, Payload, Reply};
+use crate::front::{Bad, Front, Taken, refused};
+use crate::headers::{CORRELATION, end_to_end};
 use crate::heads::{Heads, WatchedClient};
 use crate::logging;
 use crate::node::{Answer, Arrival, NodeEvent};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use larchspread::settings::HostSettings;
-use larchspread::{NewRequest, Repeat, RequestId, Settings};
+use larchspread::RequestId;
 use log::{debug, info};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot};
@@ -44,16 +51,14 @@
 /// How long a connection may be without a request before it is closed, once the node ends.
 const LAST_CALL: Duration = Duration::from_millis(500);
 
-const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
-const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-
 /// What all connections share.
 pub struct Clients {
-    pub settings: Settings,
-    pub host: HostSettings,
-    pub events: mpsc::UnboundedSender<NodeEvent>,
+    /// Makes requests of heads. Another one may take its place at any time.
+    pub front: RefCell<Rc<dyn Front>>,
+    /// The limits before the decision module, where there are any.
+    pub places: Places,
+    /// What a client is told to wait that finds no memory left.
+    pub retry_after: Option<Duration>,
     /// Whether there is a list of backends to work with.
     pub ready: Rc<Cell<bool>>,
     /// Whether the node has been told to end.
@@ -138,13 +143,18 @@
 /// Takes connections, `most` at a time, until `end` comes and all that was taken is answered. The limit guards the
 /// descriptors of backends and discovery: over it, an idle connection is closed for the new one, and where none is
 /// idle the new one waits.
-pub async fn serve(clients: Rc<Clients>, listener: TcpListener, most: usize, end: impl Future<Output = ()>) {
+pub async fn serve(
+    clients: Rc<Clients>,
+    listeners: Rc<Listeners>,
+    most: usize,
+    end: impl Future<Output = ()>,
+) {
     let room = Arc::new(Semaphore::new(most));
     let mut end = pin!(end);
     let mut sweep = tokio::time::interval(SWEEP_EVERY);
     loop {
         tokio::select! {
-            stream = accept(&clients, &listener, &room) => take(&clients, stream),
+            stream = accept(&clients, &listeners, &room) => take(&clients, stream),
             _ = sweep.tick() => clients.connections.sweep(LONGEST_IDLE),
             () = &mut end => break,
         }
@@ -155,16 +165,16 @@
     let mut sweep = tokio::time::interval(Duration::from_millis(50));
     loop {
         tokio::select! {
-            stream = accept(&clients, &listener, &room) => take(&clients, stream),
+            stream = accept(&clients, &listeners, &room) => take(&clients, stream),
             _ = sweep.tick() => clients.connections.sweep(LAST_CALL),
             () = tokio::time::sleep_until(farewell) => break,
         }
     }
     // What the system has accepted already is taken too; it waits for as long as there is room within a turn.
-    while let Ok(stream) = timeout(Duration::from_millis(5), accept(&clients, &listener, &room)).await {
+    while let Ok(stream) = timeout(Duration::from_millis(5), accept(&clients, &listeners, &room)).await {
         take(&clients, stream);
     }
-    drop(listener);
+    listeners.close();
     while !clients.connections.open.borrow().is_empty() {
         clients.connections.sweep(LAST_CALL);
         sleep(Duration::from_millis(10)).await;
@@ -172,9 +182,57 @@
     info!("all is answered");
 }
 
+/// Where clients connect. Others may take their places at any time; what has connected stays.
+#[derive(Default)]
+pub struct Listeners(RefCell<Vec<TcpListener>>);
+
+impl Listeners {
+    pub fn new(listeners: Vec<TcpListener>) -> Self {
+        Listeners(RefCell::new(listeners))
+    }
+    /// Opens those of these addresses that are not open, and closes the others. If one can't be opened, nothing changes.
+    pub async fn replace(&self, addresses: &[SocketAddr]) -> Result<(), String> {
+        let have = |address: &SocketAddr| self.0.borrow().iter().any(|l| is_at(l, *address));
+        let mut opened = Vec::new();
+        for address in addresses.iter().filter(|address| !have(address)) {
+            opened.push(TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?);
+        }
+        let mut listeners = self.0.borrow_mut();
+        listeners.retain(|l| addresses.iter().any(|address| is_at(l, *address)));
+        listeners.extend(opened);
+        Ok(())
+    }
+    /// Where they are now; a port 0 of the file is a real one here.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.0.borrow().iter().filter_map(|listener| listener.local_addr().ok()).collect()
+    }
+    fn close(&self) {
+        self.0.borrow_mut().clear();
+    }
+    async fn accept(&self) -> io::Result<TcpStream> {
+        poll_fn(|cx| {
+            let listeners = self.0.borrow();
+            let mut ready = listeners.iter().map(|listener| listener.poll_accept(cx));
+            let first = ready.find_map(|poll| match poll {
+                Poll::Ready(accepted) => Some(accepted.map(|(stream, _)| stream)),
+                Poll::Pending => None,
+            });
+            first.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await
+    }
+}
+
+/// Whether a listener is the one that was asked for: port 0 is any port.
+fn is_at(listener: &TcpListener, asked: SocketAddr) -> bool {
+    listener
+        .local_addr()
+        .is_ok_and(|at| at.ip() == asked.ip() && (asked.port() == 0 || at.port() == asked.port()))
+}
+
 type Accepted = (TcpStream, tokio::sync::OwnedSemaphorePermit);
 
-async fn accept(clients: &Clients, listener: &TcpListener, room: &Arc<Semaphore>) -> Accepted {
+async fn accept(clients: &Clients, listeners: &Listeners, room: &Arc<Semaphore>) -> Accepted {
     loop {
         // Looks for somebody who waits only once there is room, so that a cancelled call loses no connection.
         let permit = match room.clone().try_acquire_owned() {
@@ -186,8 +244,8 @@
                 permit
             }
         };
-        match listener.accept().await {
-            Ok((stream, _)) => return (stream, permit),
+        match listeners.accept().await {
+            Ok(stream) => return (stream, permit),
             Err(e) => {
                 clients.connections.not_taken.warn(|| format!("a client's connection was not taken: {e}"));
                 sleep(Duration::from_millis(10)).await;
@@ -256,31 +314,20 @@
     }
 }
 
-/// Why a request is not taken. All of these are failures: they promise nothing about other tries.
-#[derive(Debug)]
-struct Bad(StatusCode, String);
-
-impl Bad {
-    fn request(what: impl Into<String>) -> Self {
-        Bad(StatusCode::BAD_REQUEST, what.into())
-    }
-    fn response(self) -> Response<Full<Bytes>> {
-        let mut response = Response::new(Full::from(self.1 + "\n"));
-        *response.status_mut() = self.0;
-        response
-    }
-}
-
 async fn answer(clients: &Rc<Clients>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Bad> {
     let at = Instant::now();
-    if request.uri().path() == "/ready" && request.method() == Method::GET {
-        let ready = clients.ready.get() && !clients.ending.get();
-        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        return Ok(Bad(status, if ready { "ready" } else { "not ready" }.into()).response());
-    }
     let (head, body) = request.into_parts();
-    let mut new = read_head(clients, &head)?;
-    let _open = OpenId::new(clients, head.headers.get(&CORRELATION))?;
+    let front = clients.front.borrow().clone();
+    let mut taken = match front.read(&head) {
+        // A file may have a route of this path, which then is the one that is meant.
+        Err(bad) if bad.status() == StatusCode::NOT_FOUND && asks_whether_ready(&head) => {
+            let ready = clients.ready.get() && !clients.ending.get();
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return Ok(Bad::new(status, if ready { "ready" } else { "not ready" }).response());
+        }
+        read => read?,
+    };
+    let _open = OpenId::new(clients, taken.id.clone())?;
     let size = body.size_hint().exact().unwrap_or(LARGEST_BODY as u64);
     if size > LARGEST_BODY as u64 {
         return Err(too_large());
@@ -290,25 +337,66 @@
     }
     let kib = size.div_ceil(1 << 10) as u32 + KIB_AN_ANSWER as u32;
     let Ok(_in_hand) = clients.room_in_hand.try_acquire_many(kib) else {
-        return Ok(final_answer(Answer::Refused { retry_after: clients.settings.limits.max_retry_after }));
+        return Ok(refused(StatusCode::SERVICE_UNAVAILABLE, clients.retry_after, front.whole_seconds()));
+    };
+    let body = read_body(body, taken.new.remaining.min(SLOWEST)).await?;
+    // A request is taken with its last byte, under the front that is there then.
+    let front = reread(clients, front, &head, &mut taken)?;
+    let id = RequestId(clients.taken.get());
+    clients.taken.set(id.0 + 1);
+    let place = match taken.limit {
+        None => None,
+        Some(limit) => match clients.places.admit(limit, id.0).await {
+            Ok(place) => place,
+            Err((status, retry_after)) => {
+                return Ok(refused(status, Some(retry_after), front.whole_seconds()));
+            }
+        },
     };
-    let body = read_body(body, new.remaining.min(SLOWEST)).await?;
-    new.id = RequestId(clients.taken.get());
-    clients.taken.set(new.id.0 + 1);
-    let target = head.uri.path_and_query().cloned().ok_or_else(|| Bad::request("no path"))?;
-    let payload = Rc::new(Payload { method: head.method, target, headers: end_to_end(head.headers), body });
+    // Where it has waited for a place, the file may have been read anew.
+    let front = reread(clients, front, &head, &mut taken)?;
+    taken.new.id = id;
+    let mut headers = end_to_end(head.headers);
+    headers.extend(taken.headers);
+    let (method, target, patience) = (head.method, taken.target, taken.patience);
+    let payload = Rc::new(Payload { method, target, headers, body, patience });
     let (sender, receiver) = oneshot::channel();
-    let mut present = Present { id: new.id, events: &clients.events, owed: true };
-    let arrived = clients.events.send(NodeEvent::Arrived(Arrival { new, at, payload, answer: sender }));
+    let mut present = Present { id, events: &taken.events, owed: true };
+    let arrival = Arrival { new: taken.new, at, payload, answer: sender };
+    let arrived = taken.events.send(NodeEvent::Arrived(arrival));
     let answer = receiver.await;
     present.owed = false;
+    drop(place);
     match (arrived, answer) {
-        (Ok(()), Ok(answer)) => Ok(final_answer(answer)),
+        (Ok(()), Ok(answer)) => Ok(final_answer(answer, front.whole_seconds())),
         // The node's task has ended, and the process ends with it.
-        _ => Err(Bad(StatusCode::INTERNAL_SERVER_ERROR, "the node has failed".into())),
+        _ => Err(Bad::new(StatusCode::INTERNAL_SERVER_ERROR, "the node has failed")),
     }
 }
 
+fn asks_whether_ready(head: &Parts) -> bool {
+    head.uri.path() == "/ready" && head.method == Method::GET
+}
+
+/// Reads a head anew if another front has come since it was read, and returns the front that is there now.
+fn reread(
+    clients: &Clients,
+    before: Rc<dyn Front>,
+    head: &Parts,
+    taken: &mut Taken,
+) -> Result<Rc<dyn Front>, Bad> {
+    let front = clients.front.borrow().clone();
+    if !Rc::ptr_eq(&before, &front) {
+        let id = taken.id.clone();
+        *taken = front.read(head)?;
+        // An id that the front has made up stays the one that is held.
+        taken.headers.retain(|(name, _)| *name != CORRELATION);
+        taken.headers.push((CORRELATION, id.clone()));
+        taken.id = id;
+    }
+    Ok(front)
+}
+
 /// Tells the node when the client closes its connection before it has its answer.
 struct Present<'a> {
     id: RequestId,
@@ -329,10 +417,9 @@
 struct OpenId<'a>(&'a Clients, HeaderValue);
 
 impl<'a> OpenId<'a> {
-    fn new(clients: &'a Clients, id: Option<&HeaderValue>) -> Result<Self, Bad> {
-        let id = id.cloned().ok_or_else(|| Bad::request("x-correlation-id: missing"))?;
+    fn new(clients: &'a Clients, id: HeaderValue) -> Result<Self, Bad> {
         if !clients.ids.borrow_mut().insert(id.clone()) {
-            return Err(Bad(StatusCode::CONFLICT, "x-correlation-id: that of a request in hand".into()));
+            return Err(Bad::new(StatusCode::CONFLICT, "x-correlation-id: that of a request in hand"));
         }
         Ok(OpenId(clients, id))
     }
@@ -344,77 +431,8 @@
     }
 }
 
-/// What the head says of the request, if it is one of those that the settings describe.
-fn read_head(clients: &Clients, head: &hyper::http::request::Parts) -> Result<NewRequest, Bad> {
-    let mut parts = head.uri.path().split('/').skip(1);
-    let name = parts.next().unwrap_or_default();
-    let key = parts.last().filter(|key| !key.is_empty());
-    let class = clients.host.classes.iter().position(|class| class == name && !name.is_empty());
-    let class = class.ok_or_else(|| Bad(StatusCode::NOT_FOUND, "no such class".into()))?;
-    let header = |name: &HeaderName| match head.headers.get(name).map(HeaderValue::to_str) {
-        None => Ok(None),
-        Some(Ok(text)) => Ok(Some(text)),
-        Some(Err(_)) => Err(Bad::request(format!("{name}: not a text"))),
-    };
-    let terms = &clients.settings.classes[class];
-    let method = if terms.repeat == Repeat::Safe { Method::GET } else { Method::POST };
-    if head.method != method {
-        return Err(Bad::request(format!("this class takes {method}")));
-    }
-    if matches!(terms.repeat, Repeat::Keyed { .. }) && header(&IDEMPOTENCY_KEY)?.is_none_or(str::is_empty) {
-        // Without its key a repeat could not be dropped.
-        return Err(Bad::request("idempotency-key: missing"));
-    }
-    if header(&CORRELATION)?.is_none_or(str::is_empty) {
-        return Err(Bad::request("x-correlation-id: missing"));
-    }
-    let tenant = match header(&ACCOUNT)? {
-        _ if clients.host.tenants.is_empty() => 0,
-        Some(name) => {
-            let tenant = clients.host.tenants.iter().position(|tenant| tenant == name);
-            tenant.ok_or_else(|| Bad::request("x-account: unknown"))?
-        }
-        None => return Err(Bad::request("x-account: missing")),
-    };
-    let remaining = match header(&TIME_LEFT)? {
-        None => terms.deadline,
-        // No client waits longer than its class allows, whatever it says.
-        Some(text) => {
-            seconds(text).ok_or_else(|| Bad::request("x-time-left: not a time"))?.min(terms.deadline)
-        }
-    };
-    let cost = match header(&WEIGHT_HINT)? {
-        None => None,
-        Some(text) => {
-            let micros = text.parse::<f64>().ok().filter(|micros| (0.0..1e15).contains(micros));
-            Some(Duration::from_micros(
-                micros.ok_or_else(|| Bad::request("x-weight-hint: not a number"))? as u64
-            ))
-        }
-    };
-    Ok(NewRequest {
-        id: RequestId(0),
-        class,
-        tenant,
-        key: key.map_or(0, key_number),
-        remaining,
-        cost,
-        client_retry: header(&REPEAT)? == Some("1"),
-    })
-}
-
-fn seconds(text: &str) -> Option<Duration> {
-    let seconds = text.trim().parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)?;
-    Duration::try_from_secs_f64(seconds.min(Settings::LONGEST.as_secs_f64())).ok()
-}
-
-/// A number for the subject of a request, never 0, which stands for none.
-fn key_number(key: &str) -> u64 {
-    u64::from_str_radix(key, 16).unwrap_or_else(|_| crate::listing::server_id(key).0).max(1)
-}
-
 fn too_large() -> Bad {
-    Bad(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds at most {LARGEST_BODY} bytes"))
+    Bad::new(StatusCode::PAYLOAD_TOO_LARGE, format!("a body holds at most {LARGEST_BODY} bytes"))
 }
 
 /// Reads a body whole. Too large a one, or one that does not come in time, is never passed on.
@@ -423,40 +441,24 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(e)) => Err(Bad::request(e.to_string())),
-        Err(_) => Err(Bad(StatusCode::REQUEST_TIMEOUT, "the body did not come in time".into())),
+        Err(_) => Err(Bad::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
     }
 }
 
-fn final_answer(answer: Answer) -> Response<Full<Bytes>> {
+fn final_answer(answer: Answer, whole_seconds: bool) -> Response<Full<Bytes>> {
     match answer {
-        Answer::Served(Reply { headers, body }) => {
+        Answer::Served(Reply { status, headers, body }) => {
             let mut response = Response::new(Full::new(body));
+            *response.status_mut() = status;
             *response.headers_mut() = end_to_end(headers);
             response
         }
         Answer::Refused { retry_after } => {
-            let mut response =
-                Bad(StatusCode::SERVICE_UNAVAILABLE, "refused; try again later".into()).response();
-            let after =
-                retry_after.and_then(|after| HeaderValue::try_from(after.as_secs_f64().to_string()).ok());
-            response.headers_mut().extend(after.map(|after| (header::RETRY_AFTER, after)));
-            response
+            refused(StatusCode::SERVICE_UNAVAILABLE, retry_after, whole_seconds)
         }
         Answer::Failed { timed_out: true } => {
-            Bad(StatusCode::GATEWAY_TIMEOUT, "no answer in time".into()).response()
+            Bad::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time").response()
         }
-        Answer::Failed { timed_out: false } => Bad(StatusCode::BAD_GATEWAY, "failed".into()).response(),
-    }
-}
-
-/// Takes out what concerns one connection only, and the length, which each message has of its own.
-fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<_> = headers.get_all(header::CONNECTION).iter().cloned().collect();
-    for list in named.iter().filter_map(|list| list.to_str().ok()) {
-        list.split(',').for_each(|name| drop(headers.remove(name.trim())));
+        Answer::Failed { timed_out: false } => Bad::new(StatusCode::BAD_GATEWAY, "failed").response(),
     }
-    let own =
-        ["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade"];
-    own.iter().chain(&["content-length", "expect"]).for_each(|name| drop(headers.remove(*name)));
-    headers
 }
--- a/crates/marlwinch/src/discovery.rs
+++ b/crates/marlwinch/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The list of backends: reading its lines, and the watch that brings them.
 
 use crate::driver::Driver;
-use crate::listing::{Update, server_id};
+use crate::listing::Update;
 use crate::logging::Limited;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -101,7 +101,7 @@
         let list: RawList = serde_path_to_error::deserialize(list).map_err(|e| e.to_string())?;
         let mut entries = Vec::with_capacity(list.instances.len());
         for raw in list.instances {
-            let id = raw.get("instanceId").and_then(|id| id.as_str()).map(server_id);
+            let id = raw.get("instanceId").and_then(|id| id.as_str()).map(ServerId::named);
             match serde_path_to_error::deserialize(raw).map_err(|e| e.to_string()).and_then(|e| self.entry(e))
             {
                 Ok(entry) => entries.push(entry),
@@ -129,7 +129,7 @@
     }
 
     fn entry(&mut self, raw: RawEntry) -> Result<(ServerEntry, SocketAddr), String> {
-        let id = server_id(&raw.instance_id);
+        let id = ServerId::named(&raw.instance_id);
         if let Some((name, ..)) = self.last.get(&id).filter(|(name, ..)| *name != raw.instance_id) {
             return Err(format!("instanceId: {:?} has the number of {name:?}", raw.instance_id));
         }
@@ -297,7 +297,7 @@
     fn an_entry_is_read_as_told() {
         let mut roster = Roster::new(vec!["a".into(), "b".into()], vec!["m1".into(), "m2".into()]);
         let entries = read(&mut roster, true, ENTRY);
-        let id = server_id("s-5be2a07c");
+        let id = ServerId::named("s-5be2a07c");
         let state = ServerState::Ready;
         let expected = ServerEntry { id, zone: 1, kind: 1, cell: 3, state, weight: 1.5, started: None };
         assert_eq!(entries, [(expected, SocketAddr::from(([127, 0, 0, 1], 8443)))]);
--- /dev/null
+++ b/crates/marlwinch/src/file_front.rs
@@ -0,0 +1,183 @@
+//! Requests by the operator's file: the route decides the class, the cluster and what is sent on.
+
+use crate::backends::Patience;
+use crate::front::{self, Bad, Front, Taken};
+use crate::headers::{CORRELATION, IDEMPOTENCY_KEY, REPEAT, TIME_LEFT, seconds};
+use crate::node::NodeEvent;
+use crate::platform_front::key_number;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, StatusCode, Version};
+use larchspread::{NewRequest, RequestId};
+use operator::route::Found;
+use operator::{KeySource, Plan, target};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// The front of a node that runs from a file. One file, one front.
+pub struct FileFront {
+    plan: Rc<Plan>,
+    /// The task of each cluster, by its number in the plan.
+    clusters: Vec<mpsc::UnboundedSender<NodeEvent>>,
+    ids: Rc<Ids>,
+}
+
+/// Ids for requests that come without one. They go on over a change of the file.
+pub struct Ids {
+    start: u64,
+    next: Cell<u64>,
+}
+
+impl Ids {
+    /// Ids of their own for each `start`, which is to be another for each start of the node.
+    pub fn new(start: u64) -> Self {
+        Ids { start, next: Cell::new(0) }
+    }
+    fn make(&self) -> HeaderValue {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        // Digits and letters are a header value in every case.
+        HeaderValue::try_from(format!("{:016x}-{number:x}", self.start))
+            .unwrap_or(HeaderValue::from_static("made"))
+    }
+}
+
+impl FileFront {
+    pub fn new(plan: Rc<Plan>, clusters: Vec<mpsc::UnboundedSender<NodeEvent>>, ids: Rc<Ids>) -> Self {
+        FileFront { plan, clusters, ids }
+    }
+
+    /// The tenant's number in the file; `None` where there are no tenants.
+    fn tenant(&self, head: &Parts) -> Result<Option<usize>, Bad> {
+        if self.plan.tenants.is_empty() {
+            return Ok(None);
+        }
+        let name = &self.plan.tenant_header;
+        let tenant = front::text(head, name)?.ok_or_else(|| Bad::request(format!("{name}: missing")))?;
+        let number = self.plan.tenants.iter().position(|known| known == tenant);
+        number.map(Some).ok_or_else(|| Bad::request(format!("{name}: unknown")))
+    }
+
+    /// What goes on in place of the client's headers, and whether the key is there that a keyed class needs.
+    fn key(
+        &self,
+        source: &KeySource,
+        head: &Parts,
+        captured: impl Fn(usize) -> String,
+    ) -> Result<Option<HeaderValue>, Bad> {
+        match source {
+            KeySource::Header(name) => {
+                // Two keys would be one to this node and another to a box.
+                let mut keys = head.headers.get_all(name).iter();
+                match (keys.next(), keys.next()) {
+                    (Some(key), None) if !key.is_empty() => Ok(None),
+                    (Some(_), Some(_)) => Err(Bad::request(format!("{name}: said twice"))),
+                    _ => Err(Bad::request(format!("{name}: missing"))),
+                }
+            }
+            KeySource::Capture(number) => HeaderValue::try_from(captured(*number))
+                .map(Some)
+                .map_err(|_| Bad::request("the key in the path is no text")),
+        }
+    }
+}
+
+/// The host that a request is for, as it is matched, and the header that goes on where it came with the target.
+fn host(head: &Parts) -> Result<(Option<String>, Option<HeaderValue>), Bad> {
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let (first, second) = (hosts.next(), hosts.next());
+    if second.is_some() {
+        return Err(Bad::request("host: said twice"));
+    }
+    let no_host = || Bad::request("host: not a host");
+    // A target in absolute form wins over the header (RFC 9112, section 3.2.2).
+    if let Some(authority) = head.uri.authority() {
+        let host = target::host(authority.as_str()).ok_or_else(no_host)?.into_owned();
+        let value = HeaderValue::try_from(authority.as_str()).map_err(|_| no_host())?;
+        return Ok((Some(host), Some(value)));
+    }
+    match first {
+        None if head.version == Version::HTTP_10 => Ok((None, None)),
+        None => Err(Bad::request("host: missing")),
+        Some(value) => {
+            let text = value.to_str().map_err(|_| no_host())?;
+            Ok((Some(target::host(text).ok_or_else(no_host)?.into_owned()), None))
+        }
+    }
+}
+
+impl Front for FileFront {
+    fn whole_seconds(&self) -> bool {
+        true
+    }
+
+    fn read(&self, head: &Parts) -> Result<Taken, Bad> {
+        let plan = &self.plan;
+        let (host, host_header) = host(head)?;
+        let path = target::path(head.uri.path(), plan.keep_encoded_slash)
+            .map_err(|why| Bad::request(why.to_string()))?;
+        let (number, captures) = match plan.table.find(host.as_deref(), &path, &head.method, &head.headers) {
+            Found::Route { number, captures } => (number, captures),
+            Found::OtherMethods(methods) => {
+                let methods: Vec<_> = methods.iter().map(Method::as_str).collect();
+                let allow = HeaderValue::try_from(methods.join(", ")).ok();
+                let bad = Bad::new(StatusCode::METHOD_NOT_ALLOWED, "this path takes other methods");
+                return Err(bad.with(header::ALLOW, allow));
+            }
+            Found::Nothing => return Err(Bad::new(StatusCode::NOT_FOUND, "no such route")),
+        };
+        let route = &plan.routes[number];
+        let captured = |number| captures.get(&path, number).unwrap_or_default().to_string();
+        let tenant = self.tenant(head)?;
+        let mut headers: Vec<(HeaderName, HeaderValue)> = Vec::new();
+        headers.extend(host_header.map(|host| (header::HOST, host)));
+        if let Some(source) = &route.key {
+            let key = self.key(source, head, captured)?;
+            headers.extend(key.map(|key| (IDEMPOTENCY_KEY, key)));
+        }
+        let id = match front::id(head)? {
+            Some(id) => id,
+            None => {
+                let made = self.ids.make();
+                headers.push((CORRELATION, made.clone()));
+                made
+            }
+        };
+        let terms = &route.terms;
+        let remaining = match front::text(head, &TIME_LEFT)? {
+            None => terms.time.value,
+            Some(text) => {
+                let left = seconds(text).ok_or_else(|| Bad::request("x-time-left: not a time"))?;
+                left.min(terms.time.value)
+            }
+        };
+        let target = match route.sent_path(&path, &captures) {
+            None if path == head.uri.path() => head.uri.path_and_query().cloned(),
+            rewritten => {
+                let path = rewritten.unwrap_or_else(|| path.to_string());
+                let query = head.uri.query().map_or(String::new(), |query| format!("?{query}"));
+                PathAndQuery::from_maybe_shared(path + &query).ok()
+            }
+        };
+        let subject = route.subject.map(captured).filter(|subject| !subject.is_empty());
+        Ok(Taken {
+            new: NewRequest {
+                id: RequestId(0),
+                class: route.class,
+                tenant: tenant.unwrap_or(0),
+                key: subject.map_or(0, |subject| key_number(&subject)),
+                remaining,
+                cost: None,
+                client_retry: front::text(head, &REPEAT)? == Some("1"),
+            },
+            id,
+            events: self.clusters[route.cluster].clone(),
+            target: target.ok_or_else(|| Bad::request("no path"))?,
+            headers,
+            patience: Some(Patience { connect: terms.connect_time.value, stall: terms.longest_attempt() }),
+            limit: Some((route.limit, tenant)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/marlwinch/src/file_node.rs
@@ -0,0 +1,232 @@
+//! A node from an operator's file alone: starts a task for each cluster, listens, and takes the file in anew on SIGHUP,
+//! whole or not at all. Joins the parts; what the file means is `operator`'s.
+
+use crate::admit::Places;
+use crate::backends::{Backends, Passed, Sockets};
+use crate::clients::{self, Clients, Connections, Listeners};
+use crate::faults;
+use crate::file_front::{FileFront, Ids};
+use crate::file_source::{self, RefusedFile};
+use crate::listing::Update;
+use crate::node::{Clock, Node, NodeEvent};
+use crate::platform::{KEPT_FREE, KIB_A_CLIENT};
+use larchspread::settings::Column;
+use larchspread::{Balancer, ListKind, ServerEntry, ServerId};
+use log::{error, info, warn};
+use operator::{ClusterPlan, Plan};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::{LocalSet, spawn_local};
+
+/// The words of load reports. The platform's settings name theirs; a file's boxes use these, as in
+/// `X-Backend-Load: concurrent=7,depth=2`.
+const COLUMNS: [Column; 2] = [Column::Concurrent, Column::Depth];
+
+/// A cluster that is being served.
+struct Running {
+    events: mpsc::UnboundedSender<NodeEvent>,
+    /// The boxes as last listed: where each was, and when it was taken to have started.
+    listed: HashMap<ServerId, (SocketAddr, Option<Duration>)>,
+    version: u32,
+}
+
+impl Running {
+    /// The list of a file's boxes. One that is new here, or at another address, may have just started; how long ago
+    /// those of the first list did is not known, and they count as warm.
+    fn list(&mut self, plan: &ClusterPlan, now: Duration) -> Update {
+        let first = self.version == 0;
+        let mut listed = HashMap::new();
+        let mut entries = Vec::with_capacity(plan.boxes.len());
+        for b in &plan.boxes {
+            let before = self.listed.get(&b.entry.id).filter(|(address, _)| *address == b.address);
+            let started = match before {
+                Some((_, started)) => *started,
+                None => (!first && plan.new_boxes_are_cold).then_some(now),
+            };
+            listed.insert(b.entry.id, (b.address, started));
+            entries.push((ServerEntry { started, ..b.entry }, b.address));
+        }
+        (self.listed, self.version) = (listed, self.version + 1);
+        Update { kind: ListKind::Full, version: self.version, entries }
+    }
+}
+
+/// What the clusters' tasks are made of.
+struct Fleet {
+    clock: Clock,
+    seed: u64,
+    sockets: Rc<Sockets>,
+    running: HashMap<String, Running>,
+    faults: mpsc::UnboundedSender<String>,
+}
+
+impl Fleet {
+    /// Takes in a plan: clusters that stay are told of it, new ones start, those that are gone end once all of theirs is
+    /// answered. Returns whom to send to, by the plan's numbers. Nothing waits in here, so that no request comes between.
+    fn apply(&mut self, plan: &Plan) -> Vec<mpsc::UnboundedSender<NodeEvent>> {
+        let mut events = Vec::with_capacity(plan.clusters.len());
+        for cluster in &plan.clusters {
+            let now = self.clock.now();
+            match self.running.get_mut(&cluster.name) {
+                Some(running) => {
+                    let update = running.list(cluster, now);
+                    let changed = NodeEvent::Changed(Box::new((cluster.settings.clone(), update)));
+                    // A task that has ended has ended the process with it.
+                    let _ = running.events.send(changed);
+                }
+                None => self.start(cluster),
+            }
+            events.extend(self.running.get(&cluster.name).map(|running| running.events.clone()));
+        }
+        self.running.retain(|name, running| {
+            let stays = plan.clusters.iter().any(|cluster| cluster.name == *name);
+            if !stays {
+                info!("the cluster {name} is no longer in the file: it ends once all is answered");
+                let _ = running.events.send(NodeEvent::Retired);
+            }
+            stays
+        });
+        events
+    }
+
+    fn start(&mut self, cluster: &ClusterPlan) {
+        let (events, events_out) = mpsc::unbounded_channel();
+        let (_, lists) = mpsc::channel(1);
+        let mut running = Running { events: events.clone(), listed: HashMap::new(), version: 0 };
+        let update = running.list(cluster, self.clock.now());
+        let seed = self.seed ^ ServerId::named(&cluster.name).0;
+        let balancer = Balancer::new(cluster.settings.clone(), seed);
+        let backends = Rc::new(Backends::new(
+            self.sockets.clone(),
+            Passed::NoFailures,
+            &cluster.settings,
+            cluster.idle_close,
+            COLUMNS.to_vec(),
+        ));
+        let node = Node::new(balancer, self.clock, backends, events, Rc::new(Cell::new(true)));
+        let task = spawn_local(node.run(events_out, lists, Some(update)));
+        let (faults, name) = (self.faults.clone(), cluster.name.clone());
+        spawn_local(async move {
+            match task.await {
+                Ok(()) => info!("the cluster {name} has ended"),
+                // Its requests would not be answered any more.
+                Err(e) => drop(faults.send(format!("the task of the cluster {name} ended: {e}"))),
+            }
+        });
+        self.running.insert(cluster.name.clone(), running);
+    }
+}
+
+/// Why a node does not run.
+pub enum RunError {
+    /// Its file is refused.
+    Refused(RefusedFile),
+    /// It could not start or go on, for what the line says.
+    Failed(String),
+}
+
+/// Runs the node that a file describes, until it is told to end.
+pub fn run(path: &Path) -> Result<(), RunError> {
+    let plan = file_source::load(path).map_err(RunError::Refused)?.loaded.plan;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| RunError::Failed(format!("no runtime: {e}")))?;
+    LocalSet::new().block_on(&runtime, serve(path.to_path_buf(), plan)).map_err(RunError::Failed)
+}
+
+async fn serve(path: PathBuf, plan: Plan) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let listeners = Rc::new(Listeners::default());
+    listeners.replace(&plan.listeners).await?;
+    let (sockets, memory_kib) = (plan.sockets - KEPT_FREE, (plan.memory >> 10) as usize);
+    let most_clients = (sockets / 3).min(memory_kib / 4 / KIB_A_CLIENT).max(1);
+    let (faults_in, mut faults_out) = mpsc::unbounded_channel();
+    let clock = Clock::start();
+    // Another with each start: nodes that share work must not make the same choices at the same time.
+    let seed =
+        plan.seed.unwrap_or_else(|| clock.now().as_nanos() as u64 ^ u64::from(std::process::id()) << 32);
+    let mut fleet = Fleet {
+        clock,
+        seed,
+        sockets: Rc::new(Sockets::new(sockets - most_clients)),
+        running: HashMap::new(),
+        faults: faults_in,
+    };
+    let ids = Rc::new(Ids::new(seed.rotate_left(32) ^ clock.now().as_nanos() as u64));
+    let clusters = fleet.apply(&plan);
+    let places = Places::default();
+    places.replace(&plan.limits, &plan.tenants);
+    for address in listeners.addresses() {
+        info!("{} listens on {address}: at most {most_clients} clients", plan.name);
+    }
+    describe(&path, &plan);
+    let (sockets, memory) = (plan.sockets, plan.memory);
+    let front = FileFront::new(Rc::new(plan), clusters, ids.clone());
+    let clients = Rc::new(Clients {
+        front: RefCell::new(Rc::new(front)),
+        places: places.clone(),
+        retry_after: Some(Duration::from_secs(1)),
+        ready: Rc::new(Cell::new(true)),
+        ending: Cell::new(false),
+        taken: Cell::new(1),
+        connections: Connections::default(),
+        room_in_hand: Semaphore::new(memory_kib / 2),
+        ids: RefCell::default(),
+    });
+    let reloading = {
+        let (clients, listeners) = (clients.clone(), listeners.clone());
+        async move {
+            while hangup.recv().await.is_some() {
+                let plan = match file_source::load(&path) {
+                    Ok(source) => source.loaded.plan,
+                    Err(refused) => {
+                        error!("{}: refused, going on with the file as it was", path.display());
+                        faults::lines(&path, &refused).iter().for_each(|line| error!("{line}"));
+                        continue;
+                    }
+                };
+                // The last thing that can fail, and the only one that waits.
+                if let Err(e) = listeners.replace(&plan.listeners).await {
+                    error!("{}: refused, going on with the file as it was: {e}", path.display());
+                    continue;
+                }
+                if plan.sockets != sockets || plan.memory != memory {
+                    warn!("{}: `sockets` and `memory` hold from the next start on", path.display());
+                }
+                let clusters = fleet.apply(&plan);
+                places.replace(&plan.limits, &plan.tenants);
+                describe(&path, &plan);
+                let front = FileFront::new(Rc::new(plan), clusters, ids.clone());
+                clients.front.replace(Rc::new(front));
+            }
+        }
+    };
+    spawn_local(reloading);
+    let end = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    tokio::select! {
+        () = clients::serve(clients, listeners, most_clients, end) => Ok(()),
+        Some(fault) = faults_out.recv() => Err(fault),
+    }
+}
+
+fn describe(path: &Path, plan: &Plan) {
+    let boxes: usize = plan.clusters.iter().map(|cluster| cluster.boxes.len()).sum();
+    info!(
+        "{} taken: {} routes, {} clusters, {boxes} boxes",
+        path.display(),
+        plan.routes.len(),
+        plan.clusters.len()
+    );
+}
--- /dev/null
+++ b/crates/marlwinch/src/front.rs
@@ -0,0 +1,95 @@
+//! The seam between a client's head and whoever is to serve it: what a front makes of a head, and why one is not taken.
+//! Reads no body and sends nothing.
+
+use crate::backends::Patience;
+use crate::headers::CORRELATION;
+use crate::node::NodeEvent;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Response, StatusCode};
+use larchspread::NewRequest;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Makes of a head what the node needs. One front holds for a request from its head to its last byte; where another
+/// has taken its place by then, that one reads the head anew.
+pub trait Front {
+    /// Reads a head.
+    fn read(&self, head: &Parts) -> Result<Taken, Bad>;
+    /// Whether waits are told in whole seconds, as clients at large expect, or as exactly as they are known.
+    fn whole_seconds(&self) -> bool;
+}
+
+/// A request whose head has been understood.
+pub struct Taken {
+    /// As the decision module gets it; its number is not given yet.
+    pub new: NewRequest,
+    /// Its id, which no other request in hand has.
+    pub id: HeaderValue,
+    /// The node's task that serves it.
+    pub events: mpsc::UnboundedSender<NodeEvent>,
+    /// The path and query that go to the backend.
+    pub target: PathAndQuery,
+    /// Headers that go to the backend in place of the client's.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// How long is waited for a backend that makes no progress.
+    pub patience: Option<Patience>,
+    /// The limit that holds for it and its tenant, by their numbers in the file.
+    pub limit: Option<(usize, Option<usize>)>,
+}
+
+/// Why a request is not taken. All of these are failures: they promise nothing about other tries.
+#[derive(Debug)]
+pub struct Bad {
+    status: StatusCode,
+    what: String,
+    header: Option<(HeaderName, HeaderValue)>,
+}
+
+impl Bad {
+    pub fn new(status: StatusCode, what: impl Into<String>) -> Self {
+        Bad { status, what: what.into(), header: None }
+    }
+    pub fn request(what: impl Into<String>) -> Self {
+        Bad::new(StatusCode::BAD_REQUEST, what)
+    }
+    pub fn with(mut self, name: HeaderName, value: Option<HeaderValue>) -> Self {
+        self.header = value.map(|value| (name, value));
+        self
+    }
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+    pub fn response(self) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::from(self.what + "\n"));
+        *response.status_mut() = self.status;
+        response.headers_mut().extend(self.header);
+        response
+    }
+}
+
+/// A refusal, which says that to try again is harmless: nothing has been sent.
+pub fn refused(status: StatusCode, retry_after: Option<Duration>, whole: bool) -> Response<Full<Bytes>> {
+    let seconds = retry_after.map(|after| after.as_secs_f64());
+    let seconds = seconds.map(|seconds| if whole { seconds.ceil().max(1.0) } else { seconds });
+    let after = seconds.and_then(|seconds| HeaderValue::try_from(seconds.to_string()).ok());
+    Bad::new(status, "refused; try again later").with(header::RETRY_AFTER, after).response()
+}
+
+/// The text of a header that is there at most once.
+pub fn text<'h>(head: &'h Parts, name: &HeaderName) -> Result<Option<&'h str>, Bad> {
+    match head.headers.get(name).map(HeaderValue::to_str) {
+        None => Ok(None),
+        Some(Ok(text)) => Ok(Some(text)),
+        Some(Err(_)) => Err(Bad::request(format!("{name}: not a text"))),
+    }
+}
+
+/// The id that a client has given its request, if it has.
+pub fn id(head: &Parts) -> Result<Option<HeaderValue>, Bad> {
+    let there = text(head, &CORRELATION)?.is_some_and(|id| !id.is_empty());
+    Ok(head.headers.get(&CORRELATION).filter(|_| there).cloned())
+}
--- a/crates/marlwinch/src/lib.rs
+++ b/crates/marlwinch/src/lib.rs
@@ -2,14 +2,23 @@
 //! clients' requests, carries out what the module orders, and tells it what came of that.
 #![forbid(unsafe_code)]
 
+mod admit;
 pub mod backends;
+pub mod cli;
 pub mod clients;
 pub mod config;
 pub mod discovery;
 pub mod driver;
+mod faults;
+mod file_front;
+mod file_node;
+mod file_source;
+mod front;
+mod headers;
 mod heads;
 pub mod listing;
 pub mod logging;
 pub mod node;
 pub mod platform;
+mod platform_front;
 mod watched;
--- a/crates/marlwinch/src/main.rs
+++ b/crates/marlwinch/src/main.rs
@@ -1,8 +1,8 @@
-//! The command: with no argument, the platform's node.
+//! The command. All of it is in the library.
 #![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    marlwinch::platform::main()
+    marlwinch::cli::main()
 }
--- a/crates/marlwinch/src/node.rs
+++ b/crates/marlwinch/src/node.rs
@@ -5,6 +5,7 @@
 use crate::listing::Update;
 use larchspread::{
     Action, AttemptEnd, Balancer, Event, ListKind, NewRequest, Outcome, ProbeEnd, RequestId, ServerId,
+    Settings,
 };
 use log::{debug, info, warn};
 use std::cell::Cell;
@@ -44,22 +45,38 @@
 /// What the other tasks tell this one. There is at most one arrival and one departure for each client connection
 /// and one end for each attempt and probe, so what waits is bounded by those.
 pub enum NodeEvent {
+    /// Other settings and another list, from the operator's file. What is in hand goes on as it was taken.
+    Changed(Box<(Settings, Update)>),
+    /// Nothing more will come: the task ends once all is answered.
+    Retired,
     Arrived(Arrival),
     Gone(RequestId),
-    AttemptEnded { id: RequestId, attempt: u32, ended: Ended },
-    Probed { server: ServerId, elapsed: Duration, ended: Ended },
+    AttemptEnded {
+        id: RequestId,
+        attempt: u32,
+        ended: Ended,
+    },
+    Probed {
+        server: ServerId,
+        elapsed: Duration,
+        ended: Ended,
+    },
 }
 
 /// The module's clock: Unix time as of the node's start, which from then on runs evenly and never back. A backend's
 /// start, told in Unix time, is a point on it as it stands.
 #[derive(Clone, Copy)]
-struct Clock {
+pub struct Clock {
     started: Instant,
     unix: Duration,
 }
 
 impl Clock {
-    fn now(&self) -> Duration {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::from_secs(1));
+        Clock { started: Instant::now(), unix }
+    }
+    pub fn now(&self) -> Duration {
         self.unix + self.started.elapsed()
     }
 }
@@ -105,19 +122,21 @@
     ready: Rc<Cell<bool>>,
     version: u32,
     figures: Figures,
+    retired: bool,
 }
 
 impl Node {
     pub fn new(
         balancer: Balancer,
+        clock: Clock,
         backends: Rc<Backends>,
         events: mpsc::UnboundedSender<NodeEvent>,
         ready: Rc<Cell<bool>>,
     ) -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::from_secs(1));
         Node {
             balancer,
-            clock: Clock { started: Instant::now(), unix },
+            clock,
+            retired: false,
             backends,
             events,
             open: HashMap::new(),
@@ -146,6 +165,9 @@
         let mut prune = tokio::time::interval(PRUNE_EVERY);
         loop {
             self.ring();
+            if self.retired && self.open.is_empty() {
+                return;
+            }
             let due = self.timers.peek().map(|Reverse((at, ..))| *at);
             let due = due.map(|at| self.clock.started + at.saturating_sub(self.clock.unix));
             tokio::select! {
@@ -202,6 +224,12 @@
                 self.open.insert(id, open);
                 self.tell(Event::Request(new));
             }
+            NodeEvent::Changed(changed) => {
+                let (settings, update) = *changed;
+                self.balancer.reconfigure(settings);
+                self.list(update);
+            }
+            NodeEvent::Retired => self.retired = true,
             NodeEvent::Gone(id) => {
                 if let Some(answer) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
                     drop(answer);
--- a/crates/marlwinch/src/platform.rs
+++ b/crates/marlwinch/src/platform.rs
@@ -1,13 +1,15 @@
 //! The platform's node: one thread, its configuration from the platform, its list from discovery. Joins the parts and
 //! answers to signals; what a part does is the part's own.
 
-use crate::backends::Backends;
-use crate::clients::{Clients, Connections};
+use crate::admit::Places;
+use crate::backends::{Backends, Passed, Sockets};
+use crate::clients::{Clients, Connections, Listeners};
 use crate::config::{self, Config};
 use crate::discovery;
 use crate::driver::Driver;
 use crate::logging;
-use crate::node::Node;
+use crate::node::{Clock, Node};
+use crate::platform_front::PlatformFront;
 use larchspread::Balancer;
 use log::{error, info};
 use std::cell::{Cell, RefCell};
@@ -19,9 +21,9 @@
 use tokio::task::{LocalSet, spawn_local};
 
 /// Descriptors for the listener, discovery, the runtime and the standard streams.
-const KEPT_FREE: usize = 32;
+pub(crate) const KEPT_FREE: usize = 32;
 /// What a client's connection holds without its request and answer: hyper's buffers for both sides and a head.
-const KIB_A_CLIENT: usize = 48;
+pub(crate) const KIB_A_CLIENT: usize = 48;
 
 /// Runs the node that the platform's variables describe, until it is told to end.
 pub fn main() -> ExitCode {
@@ -61,7 +63,8 @@
     let most_clients = (sockets / 3).min(memory_kib / 4 / KIB_A_CLIENT).max(1);
     let host = config.host;
     let backends = Rc::new(Backends::new(
-        sockets - most_clients,
+        Rc::new(Sockets::new(sockets - most_clients)),
+        Passed::Ok,
         &config.settings,
         host.idle_close,
         host.columns.clone(),
@@ -73,7 +76,7 @@
     info!("{} listens on {address}: at most {most_clients} clients", config.name);
 
     let balancer = Balancer::new(config.settings.clone(), config.seed);
-    let node = Node::new(balancer, backends, events.clone(), ready.clone());
+    let node = Node::new(balancer, Clock::start(), backends, events.clone(), ready.clone());
     let node = spawn_local(node.run(events_out, lists_out, config.known));
     let (roster, mut discovery) = (Rc::new(RefCell::new(config.roster)), config.discovery);
     let mut watch = Driver::spawn(discovery::follow(discovery, roster.clone(), lists.clone(), None));
@@ -93,10 +96,12 @@
             }
         }
     });
+    let retry_after = config.settings.limits.max_retry_after;
+    let front = PlatformFront { settings: config.settings, host, events };
     let clients = Rc::new(Clients {
-        settings: config.settings,
-        host,
-        events,
+        front: RefCell::new(Rc::new(front)),
+        places: Places::default(),
+        retry_after,
         ready,
         ending: Cell::new(false),
         taken: Cell::new(1),
@@ -108,7 +113,7 @@
         terminate.recv().await;
     };
     tokio::select! {
-        () = crate::clients::serve(clients, listener, most_clients, end) => Ok(()),
+        () = crate::clients::serve(clients, Rc::new(Listeners::new(vec![listener])), most_clients, end) => Ok(()),
         // It runs for as long as the clients' side holds its channel: this is a fault, and no request would be
         // answered any more.
         end = node => Err(format!("the node's task ended: {:?}", end.err())),
--- /dev/null
+++ b/crates/marlwinch/src/platform_front.rs
@@ -0,0 +1,87 @@
+//! The platform's requests: a class by the first part of the path, a key by the last, the rest in headers, as the
+//! settings have it.
+
+use crate::front::{self, Bad, Front, Taken};
+use crate::headers::{ACCOUNT, IDEMPOTENCY_KEY, REPEAT, TIME_LEFT, WEIGHT_HINT, seconds};
+use crate::node::NodeEvent;
+use hyper::header::HeaderName;
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode};
+use larchspread::settings::HostSettings;
+use larchspread::{NewRequest, Repeat, RequestId, ServerId, Settings};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// The front of the platform's node.
+pub struct PlatformFront {
+    pub settings: Settings,
+    pub host: HostSettings,
+    pub events: mpsc::UnboundedSender<NodeEvent>,
+}
+
+impl Front for PlatformFront {
+    fn whole_seconds(&self) -> bool {
+        false
+    }
+
+    fn read(&self, head: &Parts) -> Result<Taken, Bad> {
+        let mut parts = head.uri.path().split('/').skip(1);
+        let name = parts.next().unwrap_or_default();
+        let key = parts.last().filter(|key| !key.is_empty());
+        let class = self.host.classes.iter().position(|class| class == name && !name.is_empty());
+        let class = class.ok_or_else(|| Bad::new(StatusCode::NOT_FOUND, "no such class"))?;
+        let header = |name: &HeaderName| front::text(head, name);
+        let terms = &self.settings.classes[class];
+        let method = if terms.repeat == Repeat::Safe { Method::GET } else { Method::POST };
+        if head.method != method {
+            return Err(Bad::request(format!("this class takes {method}")));
+        }
+        if matches!(terms.repeat, Repeat::Keyed { .. }) && header(&IDEMPOTENCY_KEY)?.is_none_or(str::is_empty)
+        {
+            // Without its key a repeat could not be dropped.
+            return Err(Bad::request("idempotency-key: missing"));
+        }
+        let id = front::id(head)?.ok_or_else(|| Bad::request("x-correlation-id: missing"))?;
+        let tenant = match header(&ACCOUNT)? {
+            _ if self.host.tenants.is_empty() => 0,
+            Some(name) => {
+                let tenant = self.host.tenants.iter().position(|tenant| tenant == name);
+                tenant.ok_or_else(|| Bad::request("x-account: unknown"))?
+            }
+            None => return Err(Bad::request("x-account: missing")),
+        };
+        let remaining = match header(&TIME_LEFT)? {
+            None => terms.deadline,
+            // No client waits longer than its class allows, whatever it says.
+            Some(text) => {
+                seconds(text).ok_or_else(|| Bad::request("x-time-left: not a time"))?.min(terms.deadline)
+            }
+        };
+        let cost = match header(&WEIGHT_HINT)? {
+            None => None,
+            Some(text) => {
+                let micros = text.parse::<f64>().ok().filter(|micros| (0.0..1e15).contains(micros));
+                Some(Duration::from_micros(
+                    micros.ok_or_else(|| Bad::request("x-weight-hint: not a number"))? as u64,
+                ))
+            }
+        };
+        let target = head.uri.path_and_query().cloned().ok_or_else(|| Bad::request("no path"))?;
+        let new = NewRequest {
+            id: RequestId(0),
+            class,
+            tenant,
+            key: key.map_or(0, key_number),
+            remaining,
+            cost,
+            client_retry: header(&REPEAT)? == Some("1"),
+        };
+        let events = self.events.clone();
+        Ok(Taken { new, id, events, target, headers: Vec::new(), patience: None, limit: None })
+    }
+}
+
+/// A number for the subject of a request, never 0, which stands for none.
+pub fn key_number(key: &str) -> u64 {
+    u64::from_str_radix(key, 16).unwrap_or_else(|_| ServerId::named(key).0).max(1)
+}
--- /dev/null
+++ b/crates/operator/src/diagnostic.rs
@@ -0,0 +1,240 @@
+//! What is wrong with a file, and where: codes, places, and the rule that would be broken. Prints nothing.
+
+use serde::Serialize;
+use std::collections::HashSet;
+use std::fmt;
+use std::ops::Range;
+
+/// Which of the four rules a fault would break.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// One final answer, in time, for all that was taken.
+    OneAnswerInTime,
+    /// No effect twice.
+    NoEffectTwice,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Rule::OneAnswerInTime => "one final answer, in time",
+            Rule::NoEffectTwice => "no effect twice",
+        })
+    }
+}
+
+macro_rules! codes {
+    ($($name:ident = $text:literal, $rule:expr, $about:literal;)*) => {
+        /// The sort of a fault. Its text, such as `MW100`, never changes its meaning.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Code { $(#[doc = $about] $name,)* }
+
+        impl Code {
+            /// All of them, in order.
+            pub const ALL: &[Code] = &[$(Code::$name,)*];
+
+            /// `MW` and three digits.
+            pub fn as_str(self) -> &'static str {
+                match self { $(Code::$name => $text,)* }
+            }
+
+            /// What faults of this sort have in common, in a line.
+            pub fn about(self) -> &'static str {
+                match self { $(Code::$name => $about,)* }
+            }
+
+            /// The rule that the file would break.
+            pub fn rule(self) -> Option<Rule> {
+                match self { $(Code::$name => $rule,)* }
+            }
+        }
+    };
+}
+
+use Rule::{NoEffectTwice, OneAnswerInTime};
+
+codes! {
+    NotText = "MW001", None, "The file is not UTF-8 text.";
+    TooLarge = "MW002", None, "The file is larger than any that is read.";
+    NotAFile = "MW003", None, "The path names no ordinary file, or it can't be read.";
+    Syntax = "MW004", None, "The text is not TOML.";
+    UnknownKey = "MW010", None, "A key that means nothing here.";
+    WrongType = "MW011", None, "A value of another type than the key takes.";
+    MissingKey = "MW012", None, "A key that must be there is not.";
+    Duplicate = "MW013", None, "A name or an address that is already taken.";
+    NameForm = "MW014", None, "A name that is empty, too long or holds other than letters, digits, `.`, `_` and `-`.";
+    DurationUnit = "MW020", None, "A duration without its unit.";
+    DurationZero = "MW021", None, "A duration of zero where there must be some time.";
+    DurationLong = "MW022", None, "A duration of more than a day.";
+    DurationForm = "MW023", None, "A text that is no duration.";
+    ShareRange = "MW024", None, "A share outside 0 to 1.";
+    NumberRange = "MW025", None, "A number outside its range, or none at all.";
+    AddressForm = "MW026", None, "A text that is no address with a port.";
+    RateForm = "MW027", None, "A text that is no rate.";
+    HeaderForm = "MW028", None, "A text that is no header name or value, or a header that can't be matched on.";
+    MethodForm = "MW029", None, "A text that is no method.";
+    HostForm = "MW030", None, "A text that is no host.";
+    PathForm = "MW031", None, "A text that is no path or template.";
+    Choice = "MW032", None, "A word that is none of those allowed here.";
+    UnknownClass = "MW040", None, "A route names a class that the file does not have.";
+    UnknownCluster = "MW041", None, "A route names a cluster that the file does not have.";
+    UnknownZone = "MW042", None, "A zone that no box is in.";
+    NoSuchCapture = "MW043", None, "A template uses a capture that the path does not have.";
+    NoBoxes = "MW050", None, "A cluster without boxes.";
+    SameAddress = "MW051", None, "Two boxes of a cluster at one address.";
+    NoneInService = "MW052", None, "A cluster none of whose boxes takes requests.";
+    ScopeNotGiven = "MW053", Some(NoEffectTwice), "A class is keyed by zone or cell, and a box does not say its own.";
+    UnsafeRetried = "MW100", Some(NoEffectTwice), "An unsafe class has further attempts after it may have run.";
+    UnsafeCopied = "MW101", Some(NoEffectTwice), "An unsafe class has second copies.";
+    KeyedOutlivesWindow = "MW102", Some(NoEffectTwice), "A keyed class may be sent again after the boxes have forgotten its key.";
+    KeyedWithoutKey = "MW103", Some(NoEffectTwice), "A keyed class names no place where its key is found.";
+    SafeTakesEffect = "MW104", Some(NoEffectTwice), "A safe class is reached by a method that has effects.";
+    EffectByGet = "MW105", Some(NoEffectTwice), "A class with effects is reached by a method that anybody may repeat.";
+    AttemptsOutlast = "MW106", Some(OneAnswerInTime), "Attempts and back-offs together outlast the request's time.";
+    PatienceOutlasted = "MW107", Some(OneAnswerInTime), "The request's time outlasts the clients' patience.";
+    CopyTooLate = "MW108", None, "A second copy would go out when its first attempt is over.";
+    AttemptTooLong = "MW109", Some(OneAnswerInTime), "An attempt may take longer than its request.";
+    ConnectTooLong = "MW110", None, "A connect may take as long as the whole attempt.";
+    CopiesWithoutAttempts = "MW111", None, "More copies than there are attempts for them.";
+    NoBudget = "MW112", None, "Further attempts are allowed, and their budget is nothing.";
+    AimTooLong = "MW113", None, "The aim is longer than the request's time.";
+    RatesUnderFloor = "MW114", None, "All tenants together may send less than the retry budget's floor.";
+    QueueTooLong = "MW115", Some(OneAnswerInTime), "A request may wait in the queue for all of its time.";
+    SharesOverWhole = "MW116", None, "Tenants' shares add up to more than the whole.";
+    QueueWithoutLimit = "MW117", None, "A queue without a limit to wait for.";
+    RoutesTie = "MW130", None, "Two routes that some request can't tell apart.";
+    RouteNeverMatches = "MW131", None, "A route that no request can match.";
+    RoutePath = "MW132", None, "A route without a path, or with more than one.";
+    NoRoutes = "MW133", None, "No routes, so that every request would be answered 404.";
+    NoListener = "MW140", None, "Nothing to listen on.";
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// One fault of a file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Diagnostic {
+    /// Its sort.
+    pub code: Code,
+    /// What is wrong, in a line.
+    pub message: String,
+    /// The bytes of the text that are at fault.
+    pub span: Range<usize>,
+    /// Other places that have to do with it, and what they are.
+    pub also: Vec<(Range<usize>, String)>,
+    /// What to write instead.
+    pub help: String,
+}
+
+impl Diagnostic {
+    /// A fault at a place, and the way out.
+    pub fn new(code: Code, span: Range<usize>, message: impl Into<String>, help: impl Into<String>) -> Self {
+        Diagnostic { code, message: message.into(), span, also: Vec::new(), help: help.into() }
+    }
+
+    /// The same with one more place.
+    pub fn with(mut self, span: Range<usize>, what: impl Into<String>) -> Self {
+        self.also.push((span, what.into()));
+        self
+    }
+}
+
+/// Faults as they are found. Nothing is lost, but past [`Report::MOST`] they are only counted.
+#[derive(Debug, Default)]
+pub struct Report {
+    found: Vec<Diagnostic>,
+    seen: HashSet<(Code, usize, String)>,
+    /// How many more there were.
+    pub more: usize,
+}
+
+impl Report {
+    /// As many as anybody reads. Guards memory against a large file with a fault in each line.
+    pub const MOST: usize = 200;
+
+    /// Takes one in. The same fault at the same place, seen from another route, is one fault.
+    pub fn push(&mut self, diagnostic: Diagnostic) {
+        let Diagnostic { code, span, message, .. } = &diagnostic;
+        if !self.seen.insert((*code, span.start, message.clone())) {
+            return;
+        }
+        if self.found.len() < Report::MOST {
+            self.found.push(diagnostic);
+        } else {
+            self.more += 1;
+        }
+    }
+
+    /// Whether there was none.
+    pub fn is_empty(&self) -> bool {
+        self.found.is_empty()
+    }
+
+    /// All of them, by place.
+    pub fn into_sorted(mut self) -> Vec<Diagnostic> {
+        self.found.sort_by_key(|d| (d.span.start, d.code));
+        self.found
+    }
+}
+
+/// Where in the text a byte is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Place {
+    /// From 1.
+    pub line: usize,
+    /// In characters, from 1.
+    pub column: usize,
+}
+
+/// The lines of a text, to turn bytes into places.
+pub struct Lines<'t> {
+    text: &'t str,
+    starts: Vec<usize>,
+}
+
+impl<'t> Lines<'t> {
+    /// Finds the lines.
+    pub fn of(text: &'t str) -> Self {
+        let ends = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
+        Lines { text, starts: std::iter::once(0).chain(ends).collect() }
+    }
+
+    /// The place of a byte; the end of the text for all beyond.
+    pub fn place(&self, at: usize) -> Place {
+        let at = at.min(self.text.len());
+        let line = self.starts.partition_point(|start| *start <= at) - 1;
+        let before = self.text.as_bytes().get(self.starts[line]..at).unwrap_or_default();
+        let column = String::from_utf8_lossy(before).chars().count() + 1;
+        Place { line: line + 1, column }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn places_count_lines_and_characters_from_one() {
+        let lines = Lines::of("a\nüb\n");
+        let at = |byte| (lines.place(byte).line, lines.place(byte).column);
+        assert_eq!([at(0), at(2), at(4), at(6), at(99)], [(1, 1), (2, 1), (2, 2), (3, 1), (3, 1)]);
+    }
+
+    #[test]
+    fn codes_are_distinct_and_in_order() {
+        let texts: Vec<_> = Code::ALL.iter().map(|code| code.as_str()).collect();
+        assert!(texts.is_sorted_by(|a, b| a < b), "{texts:?}");
+    }
+
+    #[test]
+    fn a_flood_of_faults_is_counted_not_kept() {
+        let mut report = Report::default();
+        (0..1000).for_each(|i| report.push(Diagnostic::new(Code::UnknownKey, i..i + 1, "x", "y")));
+        assert_eq!((report.more, report.into_sorted().len()), (1000 - Report::MOST, Report::MOST));
+    }
+}
--- /dev/null
+++ b/crates/operator/src/explain.rs
@@ -0,0 +1,223 @@
+//! What would become of a request: its route, where each of its limits was set, and every attempt that could be made, with
+//! times. Plays nothing; it reads the plan.
+
+use crate::diagnostic::Lines;
+use crate::model::File;
+use crate::plan::{KeySource, Plan, RoutePlan};
+use crate::resolve::{Resolved, Sourced};
+use crate::route::Found;
+use crate::target::{self, BadPath};
+use crate::units::show;
+use http::{HeaderMap, Method};
+use larchspread::{Repeat, Scope};
+use std::fmt::{self, Write};
+use std::time::Duration;
+
+/// Why there is nothing to explain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NoRoute {
+    /// The request would be refused for its path: 400.
+    Path(BadPath),
+    /// Or for its host: 400.
+    Host(String),
+    /// Its path is known for other methods or headers only: 405.
+    Method(Vec<Method>),
+    /// Its path is not known: 404.
+    Unknown,
+}
+
+impl fmt::Display for NoRoute {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            NoRoute::Path(why) => write!(f, "answered 400: {why}"),
+            NoRoute::Host(host) => write!(f, "answered 400: {host:?} is no host"),
+            NoRoute::Method(methods) => {
+                let methods: Vec<_> = methods.iter().map(Method::as_str).collect();
+                write!(f, "answered 405: this path takes {}", methods.join(", "))
+            }
+            NoRoute::Unknown => f.write_str("answered 404: no route has this path"),
+        }
+    }
+}
+
+impl std::error::Error for NoRoute {}
+
+/// A request to explain.
+pub struct Asked<'a> {
+    /// Its method.
+    pub method: &'a Method,
+    /// Its path and query as a client would send them.
+    pub target: &'a str,
+    /// Its headers, `Host` among them.
+    pub headers: &'a HeaderMap,
+}
+
+/// Explains what would become of a request under a file with this text.
+pub fn explain(plan: &Plan, file: &File, text: &str, asked: &Asked) -> Result<String, NoRoute> {
+    let (raw, query) = asked.target.split_once('?').map_or((asked.target, ""), |(path, query)| (path, query));
+    let path = target::path(raw, plan.keep_encoded_slash).map_err(NoRoute::Path)?;
+    let host = asked.headers.get(http::header::HOST).map(|host| String::from_utf8_lossy(host.as_bytes()));
+    let host = match &host {
+        Some(host) => Some(target::host(host).ok_or_else(|| NoRoute::Host(host.to_string()))?),
+        None => None,
+    };
+    let (number, captures) = match plan.table.find(host.as_deref(), &path, asked.method, asked.headers) {
+        Found::Route { number, captures } => (number, captures),
+        Found::OtherMethods(methods) => return Err(NoRoute::Method(methods)),
+        Found::Nothing => return Err(NoRoute::Unknown),
+    };
+    let route = &plan.routes[number];
+    let (in_file, class) = route.in_file;
+    let class = &file.classes[class];
+    let lines = Lines::of(text);
+    let line = |at: usize| lines.place(at).line;
+    let mut out = String::new();
+    // Writing to a string can't fail.
+    let _ = writeln!(out, "route    {} (line {})", route.name, line(file.routes[in_file].span.start));
+    let _ = writeln!(out, "class    {}: {}", class.name.value, promise(class.repeat.value));
+    let cluster = &plan.clusters[route.cluster];
+    let _ = writeln!(out, "cluster  {}: {} boxes", cluster.name, cluster.boxes.len());
+    let sent = route.sent_path(&path, &captures).unwrap_or_else(|| path.to_string());
+    let question = if query.is_empty() { String::new() } else { format!("?{query}") };
+    let _ = writeln!(out, "sent as  {} {sent}{question}", asked.method);
+    match &route.key {
+        Some(KeySource::Header(name)) => {
+            let there = asked.headers.get(name).is_some_and(|value| !value.is_empty());
+            let note = if there { "" } else { " (not there: answered 400)" };
+            let _ = writeln!(out, "key      from the header {name}{note}");
+        }
+        Some(KeySource::Capture(number)) => {
+            let _ = writeln!(
+                out,
+                "key      {:?} from the path",
+                captures.get(&path, *number).unwrap_or_default()
+            );
+        }
+        None => {}
+    }
+    out.push_str("limits\n");
+    for (name, value, level, span) in rows(&route.terms) {
+        let place = span.map_or(String::new(), |at| format!(", line {}", line(at)));
+        let _ = writeln!(out, "  {name:<13}{value:<32} {level}{place}");
+    }
+    out.push_str("attempts\n");
+    attempts(&mut out, route, class.repeat.value);
+    Ok(out)
+}
+
+fn promise(repeat: Repeat) -> String {
+    match repeat {
+        Repeat::Safe => "safe, may be repeated freely".into(),
+        Repeat::Unsafe => "unsafe, must never run twice".into(),
+        Repeat::Keyed { scope, window } => {
+            let scope = match scope {
+                Scope::All => "by all boxes",
+                Scope::Zone => "within a zone",
+                Scope::Cell => "within a cell",
+            };
+            format!("keyed, repeats are dropped {scope} for {}", show(window))
+        }
+    }
+}
+
+type Row = (&'static str, String, crate::resolve::Level, Option<usize>);
+
+fn rows(r: &Resolved) -> Vec<Row> {
+    fn row<T>(name: &'static str, sourced: &Sourced<T>, text: impl FnOnce(&T) -> String) -> Row {
+        (name, text(&sourced.value), sourced.level, sourced.span.as_ref().map(|span| span.start))
+    }
+    let or = |none: &'static str| move |time: &Option<Duration>| time.map_or(none.to_string(), show);
+    vec![
+        row("time", &r.time, |t| show(*t)),
+        row("aim", &r.aim, or("the whole time")),
+        row("late-worth", &r.late_worth, f64::to_string),
+        row("patience", &r.patience, or("not said")),
+        row("attempts", &r.attempts, u32::to_string),
+        row("attempt-time", &r.attempt_time, or("what is left")),
+        row("connect-time", &r.connect_time, |t| show(*t)),
+        row("retry-on", &r.retry_on, |on| {
+            let words = [
+                (on.never_ran, "never-ran"),
+                (on.error, "error"),
+                (on.reset, "reset"),
+                (on.timed_out, "timed-out"),
+            ];
+            let words: Vec<_> = words.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+            if words.is_empty() { "nothing".into() } else { words.join(", ") }
+        }),
+        row("back-off", &r.back_off, |b| {
+            b.map_or("none".into(), |b| {
+                format!("{} up to {}, {:.0}% by chance", show(b.first), show(b.longest), b.jitter * 100.0)
+            })
+        }),
+        row("copies", &r.copies, |c| {
+            c.map_or("none".into(), |c| {
+                format!("{} after {}, of {:.0}% at most", c.most, show(c.after), c.share * 100.0)
+            })
+        }),
+        row("budget", &r.budget, |b| format!("{:.0}% and {} a second", b.share * 100.0, b.per_s)),
+        row("in-hand", &r.in_hand, |n| n.map_or("no limit".into(), |n| n.to_string())),
+        row("queue", &r.queue, |q| q.map_or("none".into(), |q| format!("{} for {}", q.length, show(q.time)))),
+        row("tenant-rate", &r.tenant_rate, |t| {
+            t.map_or("no limit".into(), |t| format!("{} a second, {} at once", t.per_s, t.burst))
+        }),
+        row("retry-after", &r.retry_after, or("1s")),
+    ]
+}
+
+fn attempts(out: &mut String, route: &RoutePlan, repeat: Repeat) {
+    let r = &route.terms;
+    let until = r.until();
+    let _ = writeln!(out, "  1  at 0ms, over by {}", show(r.longest_attempt()));
+    let earliest = |n: u32| {
+        let Some(back_off) = r.back_off.value else { return Duration::ZERO };
+        (1..=n).map(|n| back_off.longest_after(n).mul_f64(1.0 - back_off.jitter)).sum()
+    };
+    for n in 1..r.attempts.value {
+        let longest = if r.retry_on.value.may_have_run() { r.longest_attempt() } else { until };
+        let latest = longest.saturating_mul(n).saturating_add(r.back_offs_before(n)).min(until);
+        let over = latest.saturating_add(r.longest_attempt()).min(until);
+        if earliest(n) >= until {
+            break;
+        }
+        let _ = write!(
+            out,
+            "  {}  from {} to {}, over by {}",
+            n + 1,
+            show(earliest(n)),
+            show(latest),
+            show(over)
+        );
+        let on = r.retry_on.value;
+        let _ = match (repeat, on.may_have_run()) {
+            (_, false) => writeln!(out, "; only if none before it ran"),
+            (Repeat::Keyed { scope, window }, true) => {
+                let scope = match scope {
+                    Scope::All => "any box",
+                    Scope::Zone => "boxes of its zone",
+                    Scope::Cell => "boxes of its cell",
+                };
+                writeln!(out, "; once one may have run, to {scope} within {} of that", show(window))
+            }
+            _ => writeln!(out, "; to a box that has not had it"),
+        };
+    }
+    if let Some(copies) = r.copies.value {
+        for n in 1..=copies.most {
+            let at = copies.after.saturating_mul(n);
+            if at >= until {
+                break;
+            }
+            let _ = writeln!(out, "  copy {n}  at {}, if an attempt is out then; counts as one", show(at));
+        }
+    }
+    let end = match repeat {
+        Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => {
+            "refused (503), as to try again is harmless"
+        }
+        Repeat::Unsafe | Repeat::Keyed { .. } => {
+            "failed (504) if it may have run, which promises nothing, else refused (503)"
+        }
+    };
+    let _ = writeln!(out, "  no answer by {}: {end}", show(until));
+}
--- /dev/null
+++ b/crates/operator/src/model.rs
@@ -0,0 +1,261 @@
+//! The file as it was written: every value with its place. Nothing here is checked against anything else.
+
+use http::{HeaderName, HeaderValue, Method};
+use larchspread::{BackOff, Budget, Repeat, RetryOn, ServerState};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+/// Bytes of the text.
+pub type Span = Range<usize>;
+
+/// A value and where it stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct At<T> {
+    /// The value.
+    pub value: T,
+    /// Its bytes in the text.
+    pub span: Span,
+}
+
+impl<T> At<T> {
+    /// A value at a place.
+    pub fn new(value: T, span: Span) -> Self {
+        At { value, span }
+    }
+}
+
+/// The whole file.
+#[derive(Clone, Debug, Default)]
+pub struct File {
+    /// `[node]`.
+    pub node: Node,
+    /// `[[listener]]`.
+    pub listeners: Vec<Listener>,
+    /// `[defaults]`: terms that classes and routes inherit.
+    pub defaults: Terms,
+    /// `[[cluster]]`.
+    pub clusters: Vec<Cluster>,
+    /// `[[class]]`.
+    pub classes: Vec<Class>,
+    /// `[[tenant]]`.
+    pub tenants: Vec<Tenant>,
+    /// `[[route]]`.
+    pub routes: Vec<Route>,
+}
+
+/// `[node]`: the node itself.
+#[derive(Clone, Debug, Default)]
+pub struct Node {
+    /// Its name in logs.
+    pub name: Option<At<String>>,
+    /// The zone it is in.
+    pub zone: Option<At<String>>,
+    /// How many nodes share the work, this one included.
+    pub nodes: Option<At<u32>>,
+    /// Its number among them, from 0.
+    pub number: Option<At<u32>>,
+    /// For random numbers; another with each start where it is not given.
+    pub seed: Option<At<u64>>,
+    /// File descriptors it may hold.
+    pub sockets: Option<At<u32>>,
+    /// Memory for what is in hand, in bytes.
+    pub memory: Option<At<u64>>,
+    /// Which header names the tenant.
+    pub tenant_header: Option<At<HeaderName>>,
+    /// What becomes of `%2F` in a path: refused or kept.
+    pub keep_encoded_slash: Option<At<bool>>,
+}
+
+/// `[[listener]]`.
+#[derive(Clone, Debug)]
+pub struct Listener {
+    /// Where clients connect.
+    pub address: At<SocketAddr>,
+}
+
+/// `[[cluster]]`: boxes that serve the same.
+#[derive(Clone, Debug)]
+pub struct Cluster {
+    /// Its name.
+    pub name: At<String>,
+    /// How long a box keeps an idle connection.
+    pub idle_close: Option<At<Duration>>,
+    /// What its boxes' load reports hold.
+    pub reports: Option<At<Reports>>,
+    /// How its boxes start.
+    pub cold: Option<At<Cold>>,
+    /// `[[cluster.box]]`.
+    pub boxes: Vec<Box>,
+}
+
+/// Whether answers carry load reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// In `X-Backend-Load`, as `concurrent=7,depth=2`.
+    Answers,
+    /// There are none.
+    None,
+}
+
+/// `cold`: what a box can do just after its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// The share of its capacity that it starts with, or more.
+    pub share: f64,
+    /// When it has all of it, at the latest.
+    pub warm_after: Duration,
+    /// It falls over when sent more than this multiple of its present capacity ...
+    pub factor: f64,
+    /// ... for this long.
+    pub overload_time: Duration,
+}
+
+/// `[[cluster.box]]`.
+#[derive(Clone, Debug)]
+pub struct Box {
+    /// Its name: what it is known by, whatever its address.
+    pub name: At<String>,
+    /// Where it listens.
+    pub address: At<SocketAddr>,
+    /// The zone it is in.
+    pub zone: Option<At<String>>,
+    /// Its machine kind.
+    pub kind: Option<At<String>>,
+    /// Its cell.
+    pub cell: Option<At<u16>>,
+    /// A figure to compare with other boxes' weights.
+    pub weight: Option<At<f64>>,
+    /// Whether it takes requests or drains.
+    pub state: Option<At<ServerState>>,
+}
+
+/// `[[tenant]]`.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Its name, as the tenant header has it.
+    pub name: At<String>,
+    /// Its share of the service.
+    pub share: Option<At<f64>>,
+    /// Requests a second within that, over all nodes.
+    pub allowance: Option<At<f64>>,
+}
+
+/// `[[class]]`.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: At<String>,
+    /// How far its requests may be repeated.
+    pub repeat: At<Repeat>,
+    /// Which header holds the key of a keyed class.
+    pub key_header: Option<At<HeaderName>>,
+    /// What it sets of its own.
+    pub terms: Terms,
+}
+
+/// `[[route]]`.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Its own place: the header of its table.
+    pub span: Span,
+    /// A name for logs and limits.
+    pub name: Option<At<String>>,
+    /// The host it is for: exact, or `*.` and a suffix.
+    pub host: Option<At<String>>,
+    /// The methods it is for; all that its class allows where none are named.
+    pub methods: Option<At<Vec<Method>>>,
+    /// The path, exact, as a prefix or as a template.
+    pub path: Option<At<PathRule>>,
+    /// Headers that must be there, and with which value.
+    pub headers: Vec<At<(HeaderName, Option<HeaderValue>)>>,
+    /// The class of its requests.
+    pub class: At<String>,
+    /// The cluster that serves them.
+    pub cluster: At<String>,
+    /// The path that goes to the box, with captures in braces.
+    pub rewrite: Option<At<String>>,
+    /// The capture that holds the key of a keyed class.
+    pub key: Option<At<String>>,
+    /// The capture that says what the request is about.
+    pub subject: Option<At<String>>,
+    /// What it sets of its own.
+    pub terms: Terms,
+}
+
+/// A route's path as it was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PathRule {
+    /// This path alone.
+    Exact(String),
+    /// This path and all below it.
+    Prefix(String),
+    /// Segments, some of them `{captures}`.
+    Template(String),
+}
+
+/// Second copies, sent while an earlier attempt is still out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CopyRule {
+    /// How long after the attempt before.
+    pub after: Duration,
+    /// The most for a request.
+    pub most: u32,
+    /// The most as a share of requests.
+    pub share: f64,
+}
+
+/// Where requests wait that find the limit of those in hand reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Queue {
+    /// The most that wait.
+    pub length: u32,
+    /// The longest that one waits.
+    pub time: Duration,
+}
+
+/// A limit on each tenant's requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TenantRate {
+    /// Requests a second, over all nodes.
+    pub per_s: f64,
+    /// How many may come at once after a quiet time.
+    pub burst: f64,
+}
+
+/// What `[defaults]`, a class or a route may set. What is not set is inherited.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// The whole time of a request at this node.
+    pub time: Option<At<Duration>>,
+    /// An answer within this time has its full worth.
+    pub aim: Option<At<Duration>>,
+    /// The share of its worth that a later one has.
+    pub late_worth: Option<At<f64>>,
+    /// What a request is worth.
+    pub worth: Option<At<f64>>,
+    /// How long clients usually wait.
+    pub patience: Option<At<Duration>>,
+    /// The most attempts, copies included.
+    pub attempts: Option<At<u32>>,
+    /// The longest that one attempt may take.
+    pub attempt_time: Option<At<Duration>>,
+    /// The longest that a connect may take.
+    pub connect_time: Option<At<Duration>>,
+    /// After which outcomes another attempt may be made.
+    pub retry_on: Option<At<RetryOn>>,
+    /// The wait before that; `None` inside for none.
+    pub back_off: Option<At<Option<BackOff>>>,
+    /// Second copies; `None` inside for none.
+    pub copies: Option<At<Option<CopyRule>>>,
+    /// The budget of further attempts.
+    pub budget: Option<At<Budget>>,
+    /// The most requests in hand; `None` inside for no limit.
+    pub in_hand: Option<At<Option<u32>>>,
+    /// Where more of them wait; `None` inside for nowhere.
+    pub queue: Option<At<Option<Queue>>>,
+    /// The limit on each tenant; `None` inside for none.
+    pub tenant_rate: Option<At<Option<TenantRate>>>,
+    /// What a refused client is told to wait.
+    pub retry_after: Option<At<Duration>>,
+}
--- /dev/null
+++ b/crates/operator/src/plan.rs
@@ -0,0 +1,373 @@
+//! What a checked file comes to: the settings of one decision module for each cluster, the table of routes, the limits.
+//! Decides nothing more: what does not fit together has been refused before.
+
+use crate::admission::Limit;
+use crate::check::{Checked, used_captures};
+use crate::model::{Cluster, File, PathRule, Reports, Route};
+use crate::resolve::Resolved;
+use crate::route::{Condition, Table};
+use http::HeaderName;
+use larchspread::{
+    Class, Copies, Goal, Limits, Prices, ReportSource, Rules, ServerEntry, ServerId, ServerState, Settings,
+    Tenant, Terms,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// File descriptors of a node whose file does not say.
+const SOCKETS: usize = 1024;
+/// Memory of a node whose file does not say: that of the platform's.
+const MEMORY: u64 = 192 << 20;
+/// What a refused client is told to wait where the file does not say.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How long a box keeps an idle connection where the file does not say; the node lets go at half of it.
+const IDLE_CLOSE: Duration = Duration::from_secs(15);
+/// How soon a tenant is known in a header.
+const TENANT_HEADER: HeaderName = HeaderName::from_static("x-account");
+
+/// A file that has passed, compiled.
+#[derive(Debug)]
+pub struct Plan {
+    /// The node's name.
+    pub name: String,
+    /// For random numbers; `None` for another with each start.
+    pub seed: Option<u64>,
+    /// File descriptors that the node may hold.
+    pub sockets: usize,
+    /// Memory for connections and for what is in hand, in bytes.
+    pub memory: u64,
+    /// Whether `%2F` in a path is kept; otherwise such a request is refused.
+    pub keep_encoded_slash: bool,
+    /// The header that names the tenant.
+    pub tenant_header: HeaderName,
+    /// The tenants by name; where there are none, nobody is asked.
+    pub tenants: Vec<String>,
+    /// Where to listen.
+    pub listeners: Vec<SocketAddr>,
+    /// The clusters.
+    pub clusters: Vec<ClusterPlan>,
+    /// Finds a request's route.
+    pub table: Table,
+    /// The routes, by the numbers that the table gives.
+    pub routes: Vec<RoutePlan>,
+    /// The limits, by the numbers that routes name.
+    pub limits: Vec<Limit>,
+}
+
+/// A cluster.
+#[derive(Debug)]
+pub struct ClusterPlan {
+    /// Its name.
+    pub name: String,
+    /// What its decision module is told.
+    pub settings: Settings,
+    /// Its boxes.
+    pub boxes: Vec<BoxPlan>,
+    /// How long a box keeps an idle connection.
+    pub idle_close: Duration,
+    /// Whether a box that is listed later counts as just started.
+    pub new_boxes_are_cold: bool,
+}
+
+/// A box as the decision module sees it, and where it is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BoxPlan {
+    /// Its name.
+    pub name: String,
+    /// Its line of the list.
+    pub entry: ServerEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Where a keyed request's key is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeySource {
+    /// In this header, which goes on as it is.
+    Header(HeaderName),
+    /// In this capture of the path.
+    Capture(usize),
+}
+
+/// A piece of a path that is written anew.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// This text.
+    Text(String),
+    /// What this capture holds.
+    Capture(usize),
+}
+
+/// A route.
+#[derive(Debug)]
+pub struct RoutePlan {
+    /// Its name, or its path.
+    pub name: String,
+    /// The number of its cluster.
+    pub cluster: usize,
+    /// The class of its requests, by its number in the cluster's settings.
+    pub class: usize,
+    /// The number of its limits.
+    pub limit: usize,
+    /// Where its requests' key is, if they are keyed.
+    pub key: Option<KeySource>,
+    /// The capture that says what a request is about.
+    pub subject: Option<usize>,
+    /// The path that goes to the box, if not the one that came.
+    pub rewrite: Option<Vec<Piece>>,
+    /// All its terms.
+    pub terms: Resolved,
+    /// Its number in the file, and that of its class.
+    pub in_file: (usize, usize),
+}
+
+impl RoutePlan {
+    /// The path that goes to the box for one that came, in its one form.
+    pub fn sent_path(&self, path: &str, captures: &crate::route::Captures) -> Option<String> {
+        let pieces = self.rewrite.as_ref()?;
+        let text = |piece: &Piece| match piece {
+            Piece::Text(text) => text.clone(),
+            Piece::Capture(number) => captures.get(path, *number).unwrap_or_default().to_string(),
+        };
+        Some(pieces.iter().map(text).collect())
+    }
+}
+
+/// Compiles a file whose report is empty.
+pub fn compile(file: &File, routes: Vec<Checked>) -> Plan {
+    let zones = Names::of(
+        file.clusters.iter().flat_map(|c| &c.boxes).filter_map(|b| Some(b.zone.as_ref()?.value.as_str())),
+    );
+    let kinds = Names::of(
+        file.clusters.iter().flat_map(|c| &c.boxes).filter_map(|b| Some(b.kind.as_ref()?.value.as_str())),
+    );
+    let nodes = file.node.nodes.as_ref().map_or(1, |n| n.value);
+    let mut limits: Vec<Limit> = Vec::new();
+    let mut classes: Vec<Vec<(String, Class)>> = file.clusters.iter().map(|_| Vec::new()).collect();
+    let mut conditions: Vec<Condition> = Vec::with_capacity(routes.len());
+    let mut plans = Vec::with_capacity(routes.len());
+    for checked in routes {
+        let route = &file.routes[checked.number];
+        let class = &file.classes[checked.class];
+        // A route without terms of its own shares its class's budgets and limits; one with some has its own.
+        let own = checked.terms != class_terms(file, checked.class);
+        let its_name = route_name(route);
+        let name = if own { format!("{} at {its_name}", class.name.value) } else { class.name.value.clone() };
+        let of_cluster = &mut classes[checked.cluster];
+        let number = of_cluster.iter().position(|(known, _)| *known == name).unwrap_or_else(|| {
+            of_cluster.push((name.clone(), decided(class.repeat.value, &checked.terms)));
+            of_cluster.len() - 1
+        });
+        let limit = limits.iter().position(|limit| limit.name == name).unwrap_or_else(|| {
+            limits.push(limit_of(name.clone(), &checked.terms, nodes));
+            limits.len() - 1
+        });
+        let captures: Vec<_> = checked.condition.pattern.captures().map(String::from).collect();
+        let capture = |name: &str| captures.iter().position(|known| known == name);
+        let key = match class.repeat.value {
+            larchspread::Repeat::Keyed { .. } => {
+                route.key.as_ref().and_then(|key| capture(&key.value).map(KeySource::Capture)).or_else(|| {
+                    class.key_header.as_ref().map(|header| KeySource::Header(header.value.clone()))
+                })
+            }
+            _ => None,
+        };
+        plans.push(RoutePlan {
+            name: its_name,
+            cluster: checked.cluster,
+            class: number,
+            limit,
+            key,
+            subject: route.subject.as_ref().and_then(|subject| capture(&subject.value)),
+            rewrite: route.rewrite.as_ref().map(|rewrite| pieces(&rewrite.value, &captures)),
+            terms: checked.terms,
+            in_file: (checked.number, checked.class),
+        });
+        conditions.push(checked.condition);
+    }
+    let clusters = file.clusters.iter().zip(classes);
+    let clusters = clusters.map(|(c, classes)| cluster(file, c, classes, (&zones, &kinds), nodes)).collect();
+    Plan {
+        name: file.node.name.as_ref().map_or("marlwinch".into(), |name| name.value.clone()),
+        seed: file.node.seed.as_ref().map(|seed| seed.value),
+        sockets: file.node.sockets.as_ref().map_or(SOCKETS, |n| n.value as usize),
+        memory: file.node.memory.as_ref().map_or(MEMORY, |n| n.value),
+        keep_encoded_slash: file.node.keep_encoded_slash.as_ref().is_some_and(|keep| keep.value),
+        tenant_header: file.node.tenant_header.as_ref().map_or(TENANT_HEADER, |header| header.value.clone()),
+        tenants: file.tenants.iter().map(|tenant| tenant.name.value.clone()).collect(),
+        listeners: file.listeners.iter().map(|listener| listener.address.value).collect(),
+        clusters,
+        table: Table::new(conditions),
+        routes: plans,
+        limits,
+    }
+}
+
+/// Names by number, in the order of the alphabet, so that a box more or less in the file moves none that stays.
+struct Names(Vec<String>);
+
+impl Names {
+    fn of<'n>(names: impl Iterator<Item = &'n str>) -> Self {
+        let mut names: Vec<_> = names.map(String::from).collect();
+        names.sort();
+        names.dedup();
+        Names(names)
+    }
+    /// The number of a name; one of its own for no name.
+    fn number(&self, name: Option<&crate::model::At<String>>) -> u8 {
+        let known = name.and_then(|name| self.0.iter().position(|known| *known == name.value));
+        u8::try_from(known.unwrap_or(self.0.len())).unwrap_or(u8::MAX)
+    }
+}
+
+/// A route's name for logs and limits.
+pub fn route_name(route: &Route) -> String {
+    if let Some(name) = &route.name {
+        return name.value.clone();
+    }
+    let path = match route.path.as_ref().map(|path| &path.value) {
+        Some(PathRule::Exact(text) | PathRule::Template(text)) => text.clone(),
+        Some(PathRule::Prefix(text)) => format!("{text}*"),
+        None => String::new(),
+    };
+    let host = route.host.as_ref().map_or("", |host| &host.value);
+    let mut name = format!("{host}{path}");
+    // Routes that differ in methods or headers alone must not share what each has for itself.
+    for method in route.methods.iter().flat_map(|methods| &methods.value) {
+        name = format!("{method} {name}");
+    }
+    for header in &route.headers {
+        let (header, value) = &header.value;
+        name = format!("{name} {header}={value:?}");
+    }
+    name
+}
+
+fn class_terms(file: &File, class: usize) -> Resolved {
+    use crate::resolve::{Level, Levels};
+    let class = &file.classes[class];
+    Levels(vec![(Level::Defaults, &file.defaults), (Level::Class, &class.terms)]).resolve()
+}
+
+/// What the decision module is told of a class.
+fn decided(repeat: larchspread::Repeat, r: &Resolved) -> Class {
+    Class {
+        aim: r.aim.value.unwrap_or(r.time.value),
+        aim_stretch: 0.0,
+        deadline: r.time.value,
+        worth: r.worth.value,
+        late_worth: r.late_worth.value,
+        repeat,
+        streamed: false,
+        terms: Terms {
+            max_attempts: Some(r.attempts.value),
+            attempt_time: r.attempt_time.value,
+            retry_on: r.retry_on.value,
+            back_off: r.back_off.value,
+            copies: match r.copies.value {
+                Some(c) => Copies::After { after: c.after, most: c.most, share: c.share },
+                None => Copies::Never,
+            },
+            budget: Some(r.budget.value),
+            retry_after: Some(r.retry_after.value.unwrap_or(RETRY_AFTER)),
+        },
+    }
+}
+
+/// A route's limits at this node: a tenant's rate is for all nodes together, of which each takes its part.
+fn limit_of(name: String, r: &Resolved, nodes: u32) -> Limit {
+    let part = |rate: crate::model::TenantRate| crate::model::TenantRate {
+        per_s: rate.per_s / f64::from(nodes),
+        burst: (rate.burst / f64::from(nodes)).max(1.0),
+    };
+    Limit {
+        name,
+        in_hand: r.in_hand.value,
+        queue: r.queue.value,
+        tenant_rate: r.tenant_rate.value.map(part),
+        retry_after: r.retry_after.value.unwrap_or(RETRY_AFTER),
+    }
+}
+
+fn pieces(text: &str, captures: &[String]) -> Vec<Piece> {
+    let mut pieces = Vec::new();
+    let mut rest = text;
+    for name in used_captures(text).unwrap_or_default() {
+        let Some(at) = rest.find('{') else { break };
+        pieces.push(Piece::Text(rest[..at].into()));
+        pieces.extend(captures.iter().position(|known| known == name).map(Piece::Capture));
+        rest = &rest[at + name.len() + 2..];
+    }
+    pieces.push(Piece::Text(rest.into()));
+    pieces
+}
+
+fn cluster(
+    file: &File,
+    cluster: &Cluster,
+    classes: Vec<(String, Class)>,
+    (zones, kinds): (&Names, &Names),
+    nodes: u32,
+) -> ClusterPlan {
+    let defaults = Settings::default();
+    let no_cold = Rules { cold_share: 1.0, warm_after: Duration::ZERO, ..defaults.rules };
+    let rules = cluster.cold.as_ref().map_or(no_cold, |cold| Rules {
+        cold_share: cold.value.share,
+        warm_after: cold.value.warm_after,
+        overload_factor: cold.value.factor,
+        overload_time: cold.value.overload_time,
+        ..defaults.rules
+    });
+    let entry = |b: &crate::model::Box| ServerEntry {
+        id: ServerId::named(&b.name.value),
+        zone: zones.number(b.zone.as_ref()),
+        kind: kinds.number(b.kind.as_ref()),
+        cell: b.cell.as_ref().map_or(0, |cell| cell.value),
+        state: b.state.as_ref().map_or(ServerState::Ready, |state| state.value),
+        weight: b.weight.as_ref().map_or(1.0, |weight| weight.value as f32),
+        started: None,
+    };
+    let boxes = cluster.boxes.iter();
+    let boxes =
+        boxes.map(|b| BoxPlan { name: b.name.value.clone(), entry: entry(b), address: b.address.value });
+    let reports = match cluster.reports.as_ref().map_or(Reports::Answers, |reports| reports.value) {
+        Reports::Answers => ReportSource::Answers,
+        Reports::None => ReportSource::None,
+    };
+    let tenants = file.tenants.iter().map(|t| Tenant {
+        allowance_per_s: t.allowance.as_ref().map_or(0.0, |a| a.value),
+        share: t.share.as_ref().map_or(0.0, |share| share.value),
+    });
+    let classes: Vec<_> = classes.into_iter().map(|(_, class)| class).collect();
+    ClusterPlan {
+        name: cluster.name.value.clone(),
+        settings: Settings {
+            nodes,
+            node: file.node.number.as_ref().map_or(0, |n| n.value),
+            zone: zones.number(file.node.zone.as_ref()),
+            // A cluster that no route leads to is never asked; it has a class all the same.
+            classes: if classes.is_empty() { defaults.classes.clone() } else { classes },
+            tenants: tenants.collect(),
+            over_share_worth: 1.0,
+            worth_by_work: false,
+            reports,
+            limits: Limits {
+                // Each class says its own.
+                max_attempts: u32::MAX,
+                cancel: true,
+                probes: false,
+                parallel_attempts: true,
+                max_retry_after: Some(RETRY_AFTER),
+                connect_timeout: defaults.limits.connect_timeout,
+            },
+            rules,
+            prices: Prices::default(),
+            goal: Goal { whole: 1.0, ..Goal::default() },
+            list_on_request: false,
+            tick: defaults.tick,
+        },
+        boxes: boxes.collect(),
+        idle_close: cluster.idle_close.as_ref().map_or(IDLE_CLOSE, |time| time.value),
+        new_boxes_are_cold: cluster.cold.is_some(),
+    }
+}
--- /dev/null
+++ b/crates/operator/tests/corpus.rs
@@ -0,0 +1,141 @@
+//! A folder of files: the good ones pass without a word, each bad one has just the faults that it says it has, at the
+//! lines where it says so. A fault is expected on a line by `#~ MW100` at its end, or, in a file that can't hold such a
+//! remark, by a line `MW100 14` of the file beside it that ends in `.expect`.
+
+use operator::diagnostic::{Code, Lines};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+fn files(folder: &str) -> Vec<PathBuf> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/corpus").join(folder);
+    let entries = std::fs::read_dir(&path).unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+    let mut files: Vec<_> = entries.map(|entry| entry.expect("an entry").path()).collect();
+    files.sort();
+    files.into_iter().filter(|path| path.extension().is_some_and(|end| end == "toml")).collect()
+}
+
+/// The faults that a file says it has, in order: code and line.
+fn expected(path: &Path, bytes: &[u8]) -> Vec<(String, usize)> {
+    let beside = path.with_extension("expect");
+    let mut expected = Vec::new();
+    if let Ok(text) = std::fs::read_to_string(&beside) {
+        for line in text.lines() {
+            let (code, line) = line.split_once(' ').expect("a code and a line");
+            expected.push((code.to_string(), line.parse().expect("a line's number")));
+        }
+    }
+    for (number, line) in String::from_utf8_lossy(bytes).lines().enumerate() {
+        if let Some((_, codes)) = line.split_once("#~ ") {
+            expected.extend(codes.split_whitespace().map(|code| (code.to_string(), number + 1)));
+        }
+    }
+    expected.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
+    expected
+}
+
+fn found(bytes: &[u8]) -> Vec<(String, usize)> {
+    let Err(refused) = operator::load(bytes) else { return Vec::new() };
+    let text = String::from_utf8_lossy(bytes);
+    let lines = Lines::of(&text);
+    let mut found: Vec<_> = refused
+        .faults
+        .iter()
+        .map(|fault| (fault.code.as_str().to_string(), lines.place(fault.span.start).line))
+        .collect();
+    found.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
+    found
+}
+
+#[test]
+fn bad_files_have_the_faults_that_they_say() {
+    let files = files("bad");
+    assert!(files.len() >= 60, "{} bad files", files.len());
+    let mut wrong = Vec::new();
+    for path in files {
+        let bytes = std::fs::read(&path).expect("a file");
+        let (expected, found) = (expected(&path, &bytes), found(&bytes));
+        if expected.is_empty() {
+            wrong.push(format!("{}: says no fault that it has; found {found:?}", path.display()));
+        } else if expected != found {
+            wrong.push(format!("{}: expected {expected:?}, found {found:?}", path.display()));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[test]
+fn good_files_pass_without_a_word() {
+    let files = files("good");
+    assert!(files.len() >= 20, "{} good files", files.len());
+    for path in files {
+        let bytes = std::fs::read(&path).expect("a file");
+        if let Err(refused) = operator::load(&bytes) {
+            panic!("{}: {:#?}", path.display(), refused.faults);
+        }
+    }
+}
+
+/// The files of `deploy/` that are for operators are examples to learn from, so they must be good as well.
+#[test]
+fn the_examples_pass() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/example.toml");
+    let bytes = std::fs::read(&path).expect("the example");
+    assert!(operator::load(&bytes).is_ok(), "{:#?}", operator::load(&bytes).err());
+}
+
+/// Every code but those of the file as a thing on the disk is met by some bad file.
+#[test]
+fn every_code_has_a_file() {
+    let mut met = BTreeSet::new();
+    for path in files("bad") {
+        met.extend(expected(&path, &std::fs::read(&path).expect("a file")).into_iter().map(|(code, _)| code));
+    }
+    // A file that is too large is made by a test of its own, and a folder in place of one is none that can be read.
+    let elsewhere = [Code::TooLarge, Code::NotAFile];
+    let missing: Vec<_> = Code::ALL
+        .iter()
+        .filter(|code| !elsewhere.contains(code) && !met.contains(code.as_str()))
+        .map(|code| code.as_str())
+        .collect();
+    assert!(missing.is_empty(), "no file for {missing:?}");
+}
+
+/// The operators' page has each code, with what it is about.
+#[test]
+fn every_code_is_on_the_page() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators/file.md");
+    let page = std::fs::read_to_string(&path).expect("the page");
+    for code in Code::ALL {
+        let row = format!("| `{code}` | {} |", code.about());
+        assert!(page.contains(&row), "{} has no row: {row}", path.display());
+    }
+}
+
+#[test]
+fn every_fault_has_a_place_within_the_text_and_a_way_out() {
+    for path in files("bad") {
+        let bytes = std::fs::read(&path).expect("a file");
+        let Err(refused) = operator::load(&bytes) else { continue };
+        for fault in refused.faults {
+            assert!(fault.span.end <= bytes.len() && fault.span.start <= fault.span.end, "{fault:?}");
+            assert!(!fault.help.is_empty() && !fault.message.contains('\n'), "{fault:?}");
+        }
+    }
+}
+
+#[test]
+fn a_file_of_ten_megabytes_is_refused_without_being_read() {
+    let line = b"# a line of remarks\n";
+    let bytes: Vec<u8> = line.iter().copied().cycle().take(10 << 20).collect();
+    let refused = operator::load(&bytes).expect_err("too large");
+    assert_eq!(refused.faults[0].code, Code::TooLarge);
+}
+
+/// A flood of faults is counted, and the first are kept.
+#[test]
+fn a_fault_in_each_of_many_lines_is_counted() {
+    let text: String = (0..5000).map(|i| format!("odd{i} = 1\n")).collect();
+    let refused = operator::load(text.as_bytes()).expect_err("odd keys");
+    assert_eq!(refused.faults.len() + refused.more, 5000);
+    assert!(refused.faults.len() <= 200);
+}
