--- a/crates/operator/src/route.rs
+++ b/crates/operator/src/route.rs
@@ -314,6 +314,9 @@
 
     /// Finds the route for a host, a path in its one form, a method and headers.
     pub fn find(&self, host: Option<&str>, path: &str, method: &Method, headers: &HeaderMap) -> Found {
+        if !path.starts_with('/') {
+            return Found::Nothing;
+        }
         let captures = Captures::default();
         let mut search =
             Search { conditions: &self.conditions, path, method, headers, captures, others: Vec::new() };
