Test the file's node on sockets: faults counted by id, limits, 200 files under traffic

Need: what the file promises must hold on sockets, with boxes that refuse, break, stall and lie, and while the file changes. Change: tests/file_node.rs with boxes that count what they run by id (tests/counting). Found by it and mended: a header that the front sets (host of an absolute target, key from the path, made-up id) was added beside the client's, not in its place.

--- a/crates/marlwinch/src/clients.rs
+++ b/crates/marlwinch/src/clients.rs
@@ -357,7 +357,9 @@
     let front = reread(clients, front, &head, &mut taken)?;
     taken.new.id = id;
     let mut headers = end_to_end(head.headers);
-    headers.extend(taken.headers);
+    for (name, value) in taken.headers {
+        headers.insert(name, value);
+    }
     let (method, target, patience) = (head.method, taken.target, taken.patience);
     let payload = Rc::new(Payload { method, target, headers, body, patience });
     let (sender, receiver) = oneshot::channel();
--- /dev/null
+++ b/crates/marlwinch/tests/file_node.rs
@@ -0,0 +1,748 @@
+//! A node from an operator's file, as a process on loopback sockets: what it takes, what reaches a box and how often,
+//! limits, and files that change under traffic.
+
+mod counting;
+mod peers;
+
+use counting::{Counting, Fault, Ledger, mix};
+use peers::{LONG, Listener, Message, Node, OnDisk, Peer, command};
+use std::collections::HashMap;
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+/// A file with one cluster of these boxes, each with its zone, and more text.
+fn file(boxes: &[(SocketAddr, &str)], more: &str) -> String {
+    format!("[[listener]]\naddress = \"127.0.0.1:0\"\n{}{more}", cluster("tally", boxes))
+}
+
+fn cluster(name: &str, boxes: &[(SocketAddr, &str)]) -> String {
+    let mut text = format!("[[cluster]]\nname = \"{name}\"\n");
+    for (i, (address, zone)) in boxes.iter().enumerate() {
+        text +=
+            &format!("[[cluster.box]]\nname = \"{name}-{i}\"\naddress = \"{address}\"\nzone = \"{zone}\"\n");
+    }
+    text
+}
+
+fn class(name: &str, terms: &str) -> String {
+    format!("[[class]]\nname = \"{name}\"\n{terms}\n")
+}
+
+fn route(path: &str, class: &str, more: &str) -> String {
+    format!("[[route]]\n{path}\nclass = \"{class}\"\ncluster = \"tally\"\n{more}\n")
+}
+
+const SAFE: &str = "repeat = \"safe\"\ntime = \"20s\"";
+const UNSAFE: &str = "repeat = \"unsafe\"\ntime = \"20s\"";
+
+/// One class for all paths.
+fn simple(boxes: &[SocketAddr], terms: &str) -> String {
+    let boxes: Vec<_> = boxes.iter().map(|address| (*address, "east")).collect();
+    file(&boxes, &(class("c", terms) + &route("prefix = \"/\"", "c", "")))
+}
+
+fn get(client: &mut Peer, target: &str, more: &str) -> Message {
+    client.write(format!("GET {target} HTTP/1.1\r\nHost: tally.example\r\n{more}\r\n"));
+    client.read()
+}
+
+fn post(client: &mut Peer, target: &str, more: &str) {
+    client
+        .write(format!("POST {target} HTTP/1.1\r\nHost: tally.example\r\nContent-Length: 1\r\n{more}\r\nx"));
+}
+
+// ---- What is taken and what is sent on -----------------------------------------------------------
+
+#[test]
+fn what_is_matched_is_what_is_sent_on() {
+    let backend = Listener::new();
+    let more = class("c", SAFE)
+        + &route("template = \"/old/{district}/{station}\"", "c", "rewrite = \"/v2/{station}/{district}\"")
+        + &route("prefix = \"/tally\"", "c", "host = \"*.example\"")
+        + &route("path = \"/only\"", "c", "headers = { x-api = \"2\" }");
+    let node = Node::from_file(&file(&[(backend.address(), "east")], &more));
+    let mut client = node.client();
+    let mut peer: Option<Peer> = None;
+    for (target, host, sent) in [
+        ("/tally/a?x=%2F..", "tally.example", "/tally/a?x=%2F.."),
+        ("/tally/%2e%2E/tally//%61/./b%3a", "TALLY.Example:80", "/tally/a/b%3A"),
+        ("http://Tally.Example:8080/tally/a", "other.invalid", "/tally/a"),
+        ("/old/pati/7f3a?y", "anything", "/v2/7f3a/pati?y"),
+        ("/x/../only", "anything", "/only"),
+    ] {
+        client.write(format!("GET {target} HTTP/1.1\r\nHost: {host}\r\nX-Api: 2\r\n\r\n"));
+        let peer = peer.get_or_insert_with(|| backend.accept());
+        let request = peer.read();
+        assert_eq!(request.first, format!("GET {sent} HTTP/1.1"));
+        let expected = if target.starts_with("http") { "Tally.Example:8080" } else { host };
+        assert_eq!(request.header("host"), Some(expected), "{target}");
+        // The client gave none; a box needs one to tell repeats.
+        assert!(request.header("x-correlation-id").is_some_and(|id| !id.is_empty()));
+        peer.answer("200 OK", "", "");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+#[test]
+fn what_no_route_takes_is_answered_and_never_sent() {
+    let backend = Listener::new();
+    let more = class("c", SAFE)
+        + &class("u", UNSAFE)
+        + &class(
+            "k",
+            "repeat = \"keyed\"\nscope = \"zone\"\nwindow = \"600ms\"\nkey-header = \"idempotency-key\"",
+        )
+        + &route("path = \"/a\"", "c", "")
+        + &route("path = \"/u\"", "u", "methods = [\"POST\", \"PUT\"]")
+        + &route("path = \"/k\"", "k", "")
+        + "[[tenant]]\nname = \"pati\"\n";
+    let node = Node::from_file(&file(&[(backend.address(), "east")], &more));
+    let head = |line: &str, more: &str| {
+        format!("{line} HTTP/1.1\r\nHost: t.example\r\nX-Account: pati\r\n{more}\r\n")
+    };
+    let cases = [
+        (head("GET /b", ""), 404),
+        (head("GET /a/", ""), 404),
+        (head("GET /u", ""), 405),
+        (head("DELETE /u", ""), 405),
+        (head("GET /a%2Fb", ""), 400),
+        (head("GET /../a", ""), 400),
+        (head("GET /a/..;/a", ""), 400),
+        (head("GET /a%00", ""), 400),
+        (head("GET /a", "Host: u.example\r\n"), 400),
+        ("GET /a HTTP/1.1\r\nX-Account: pati\r\n\r\n".into(), 400),
+        ("GET /a HTTP/1.1\r\nHost: t.example\r\n\r\n".into(), 400),
+        ("GET /a HTTP/1.1\r\nHost: t.example\r\nX-Account: kudus\r\n\r\n".into(), 400),
+        (head("GET /a", "X-Time-Left: soon\r\n"), 400),
+        (head("GET /a", "Content-Length: 1\r\n") + "x", 400),
+        (head("POST /k", "Content-Length: 0\r\n"), 400),
+        (head("POST /k", "Content-Length: 0\r\nIdempotency-Key: \r\n"), 400),
+        (head("POST /k", "Content-Length: 0\r\nIdempotency-Key: 1\r\nIdempotency-Key: 2\r\n"), 400),
+        (head("POST /u", "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", 400),
+        (head("POST /u", "Content-Length: 70000\r\n"), 413),
+    ];
+    for (request, status) in cases {
+        let mut client = node.client();
+        client.write(&request);
+        let answer = client.read();
+        assert_eq!(answer.status(), status, "{request}");
+        if status == 405 {
+            assert_eq!(answer.header("allow"), Some("POST, PUT"));
+        }
+    }
+    assert_eq!(get(&mut node.client(), "/ready", "").status(), 200);
+    assert!(backend.is_untouched());
+}
+
+#[test]
+fn answers_of_every_sort_are_passed_on_as_they_are() {
+    let backend = Listener::new();
+    let node = Node::from_file(&simple(&[backend.address()], SAFE));
+    let mut client = node.client();
+    client.write("HEAD /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    let mut peer = backend.accept();
+    assert_eq!(peer.read().first, "HEAD /a HTTP/1.1");
+    peer.write("HTTP/1.1 200 OK\r\nContent-Length: 70\r\nETag: \"1\"\r\n\r\n");
+    // A reader of this test would wait for the body that a HEAD does not have.
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        client.stream.read_exact(&mut byte).expect("a head");
+        head.push(byte[0]);
+    }
+    assert!(String::from_utf8_lossy(&head).starts_with("HTTP/1.1 200 OK\r\n"));
+    for (status, body) in [
+        ("204 No Content", None),
+        ("304 Not Modified", None),
+        ("404 Not Found", Some("none")),
+        ("409 Conflict", Some("late")),
+        ("302 Found", Some("")),
+        ("200 OK", Some("whole")),
+    ] {
+        client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+        peer.read();
+        match body {
+            Some(body) => peer.answer(status, "X-Of-Box: 1\r\n", body),
+            None => peer.write(format!("HTTP/1.1 {status}\r\nX-Of-Box: 1\r\n\r\n")),
+        }
+        let answer = client.read();
+        assert_eq!(answer.first, format!("HTTP/1.1 {status}"));
+        assert_eq!((answer.header("x-of-box"), &answer.body[..]), (Some("1"), body.unwrap_or("").as_bytes()));
+    }
+    // A 429 of a box that does not say that it never ran is no refusal that may be passed on.
+    for (status, expected) in [("429 Slow Down", 503), ("503 Later", 503), ("500 Broken", 503)] {
+        client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+        peer.read();
+        peer.answer(status, "Retry-After: 9\r\n", "");
+        let answer = client.read();
+        // The class is safe: the node's own refusal, with its own wait.
+        assert_eq!((answer.status(), answer.header("retry-after")), (expected, Some("1")), "{status}");
+    }
+}
+
+#[test]
+fn the_key_in_the_path_goes_to_the_box() {
+    let backend = Listener::new();
+    let keyed = class("k", "repeat = \"keyed\"\nscope = \"zone\"\nwindow = \"600ms\"\ntime = \"20s\"")
+        + &route("template = \"/submit/{sheet}\"", "k", "key = \"sheet\"\nsubject = \"sheet\"");
+    let node = Node::from_file(&file(&[(backend.address(), "east")], &keyed));
+    let mut client = node.client();
+    post(&mut client, "/submit/7f3a", "Idempotency-Key: of-the-client\r\n");
+    let mut peer = backend.accept();
+    let request = peer.read();
+    assert_eq!(request.headers.iter().filter(|line| line.starts_with("idempotency-key")).count(), 1);
+    assert_eq!(request.header("idempotency-key"), Some("7f3a"));
+    peer.answer("200 OK", "", "");
+    assert_eq!(client.read().status(), 200);
+}
+
+// ---- Terms ---------------------------------------------------------------------------------------
+
+/// The whole time, the time of an attempt and the client's own, each with boxes that never answer.
+#[test]
+fn times_of_a_class_are_held() {
+    let ledger = Arc::new(Ledger::default());
+    let boxes: Vec<_> = (0..3).map(|i| Counting::start(i, ledger.clone(), |_| Fault::Stall)).collect();
+    let addresses: Vec<_> = boxes.iter().map(|b| (b.address, "east")).collect();
+    let tried = "repeat = \"safe\"\ntime = \"900ms\"\nattempts = 3\nattempt-time = \"200ms\"\nretry-on = [\"timed-out\"]\nbudget = { share = 1, floor = \"9/s\" }";
+    let more = class("short", "repeat = \"unsafe\"\ntime = \"300ms\"")
+        + &class("tried", tried)
+        + &class("long", "repeat = \"unsafe\"\ntime = \"20s\"")
+        + &route("path = \"/short\"", "short", "")
+        + &route("path = \"/tried\"", "tried", "")
+        + &route("path = \"/long\"", "long", "");
+    let node = Node::from_file(&file(&addresses, &more));
+    let mut client = node.client();
+    let begun = Instant::now();
+    post(&mut client, "/short", "X-Correlation-Id: s\r\n");
+    assert_eq!(client.read().status(), 504, "it may have run");
+    let took = begun.elapsed();
+    assert!(took.as_millis() >= 250 && took.as_secs() < 15, "{took:?}");
+    let begun = Instant::now();
+    assert_eq!(get(&mut client, "/tried", "X-Correlation-Id: t\r\n").status(), 503, "safe: refused");
+    let took = begun.elapsed();
+    assert!(took.as_millis() >= 550 && took.as_secs() < 15, "three attempts of 200 ms: {took:?}");
+    assert_eq!(ledger.runs("t").len(), 3);
+    post(&mut client, "/long", "X-Correlation-Id: l\r\nX-Time-Left: 0.2\r\n");
+    assert_eq!(client.read().status(), 504);
+    assert_eq!((ledger.runs("s").len(), ledger.runs("l").len()), (1, 1));
+}
+
+/// What an unsafe class may have: another attempt after what never ran, and none after anything else.
+#[test]
+fn two_thousand_unsafe_requests_and_none_runs_twice() {
+    const CLIENTS: u64 = 8;
+    const EACH: u64 = 250;
+    let ledger = Arc::new(Ledger::default());
+    let faults = [
+        Fault::Error,
+        Fault::Unprocessed,
+        Fault::ResetBefore,
+        Fault::ResetAfter,
+        Fault::Garbage,
+        Fault::Unprocessed,
+    ];
+    let boxes: Vec<_> = (0..4)
+        .map(|who| {
+            Counting::start(who, ledger.clone(), move |number| {
+                let chance = mix(number ^ (who as u64) << 32);
+                if chance.is_multiple_of(3) {
+                    faults[(chance >> 8) as usize % faults.len()]
+                } else {
+                    Fault::None
+                }
+            })
+        })
+        .collect();
+    // One more that refuses every connection.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    let nobody = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
+    let mut addresses: Vec<_> = boxes.iter().map(|b| b.address).collect();
+    addresses.push(nobody);
+    let terms = format!(
+        "{UNSAFE}\nattempts = 4\nback-off = {{ first = \"1ms\" }}\nbudget = {{ share = 1, floor = \"100/s\" }}"
+    );
+    let node = Node::from_file(&simple(&addresses, &terms));
+    let address = node.address;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            std::thread::spawn(move || {
+                let mut statuses = HashMap::new();
+                let mut peer = Peer::connect(address);
+                for number in 0..EACH {
+                    let id = format!("{client}-{number}");
+                    post(&mut peer, "/correct", &format!("X-Correlation-Id: {id}\r\n"));
+                    let answer = peer.read();
+                    if answer.status() == 200 {
+                        assert_eq!(answer.body, id.as_bytes(), "the answer made for this request");
+                    }
+                    statuses.insert(id, answer.status());
+                }
+                statuses
+            })
+        })
+        .collect();
+    let statuses: HashMap<String, u16> =
+        clients.into_iter().flat_map(|client| client.join().expect("a client")).collect();
+    assert_eq!(statuses.len() as u64, CLIENTS * EACH, "one answer each");
+    let mut seen: HashMap<u16, usize> = HashMap::new();
+    for (id, status) in &statuses {
+        let runs = ledger.runs(id).len();
+        assert!(runs <= 1, "{id} ran {runs} times");
+        match status {
+            200 => assert_eq!(runs, 1, "{id} is served and has run"),
+            503 => assert_eq!(runs, 0, "{id} is refused, and ran"),
+            502 => {}
+            other => panic!("{id}: {other}"),
+        }
+        *seen.entry(*status).or_default() += 1;
+    }
+    // The faults were there, and retries made up for those that are harmless.
+    assert!(seen[&502] > 100 && seen[&200] > 1000, "{seen:?}");
+    println!("answers by status: {seen:?}");
+}
+
+/// Keyed: repeats only in the zone of the first that may have run, within the window.
+#[test]
+fn keyed_requests_repeat_within_their_zone_and_window() {
+    let ledger = Arc::new(Ledger::default());
+    let boxes: Vec<_> = (0..6)
+        .map(|who| {
+            Counting::start(who, ledger.clone(), move |number| {
+                let chance = mix(number ^ (who as u64) << 40);
+                [Fault::ResetAfter, Fault::Error, Fault::None, Fault::None][chance as usize % 4]
+            })
+        })
+        .collect();
+    let zones = ["east", "west"];
+    let addresses: Vec<_> = boxes.iter().enumerate().map(|(i, b)| (b.address, zones[i % 2])).collect();
+    // The window is long beside what a slow machine may add; the order of things is what is tested.
+    let keyed = "repeat = \"keyed\"\nscope = \"zone\"\nwindow = \"10s\"\nkey-header = \"idempotency-key\"\n\
+        time = \"9s\"\nretry-on = [\"error\", \"reset\"]\nattempts = 3\nattempt-time = \"2s\"\n\
+        budget = { share = 1 }";
+    let node = Node::from_file(&file(&addresses, &(class("k", keyed) + &route("prefix = \"/\"", "k", ""))));
+    let mut client = node.client();
+    let (mut served, mut repeated) = (0, 0);
+    for number in 0..400 {
+        post(
+            &mut client,
+            "/submit",
+            &format!("X-Correlation-Id: {number}\r\nIdempotency-Key: k{number}\r\n"),
+        );
+        served += usize::from(client.read().status() == 200);
+        let runs = ledger.runs(&number.to_string());
+        repeated += usize::from(runs.len() > 1);
+        assert!(!runs.is_empty() && runs.len() <= 3);
+        assert!(runs.iter().all(|run| run.who % 2 == runs[0].who % 2), "left its zone: {runs:?}");
+        assert!(runs.iter().all(|run| run.at < runs[0].at + std::time::Duration::from_secs(10)));
+        assert!(runs.iter().all(|run| run.key.as_deref() == Some(&format!("k{number}"))));
+        let boxes: std::collections::HashSet<_> = runs.iter().map(|run| run.who).collect();
+        assert_eq!(boxes.len(), runs.len(), "twice to one box: {runs:?}");
+    }
+    assert!(served > 200 && repeated > 50, "{served} served, {repeated} repeated");
+}
+
+// ---- Limits --------------------------------------------------------------------------------------
+
+#[test]
+fn so_many_are_in_hand_the_next_wait_and_the_rest_are_refused_at_once() {
+    let backend = Listener::new();
+    let terms =
+        format!("{SAFE}\nin-hand = 1\nqueue = {{ length = 1, time = \"15s\" }}\nretry-after = \"1.2s\"");
+    let node = Node::from_file(&simple(&[backend.address()], &terms));
+    let (mut first, mut second, mut third) = (node.client(), node.client(), node.client());
+    let ask = |client: &mut Peer| client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    ask(&mut first);
+    let mut peer = backend.accept();
+    peer.read();
+    // Whichever of these comes second waits, and the other one is refused while that does.
+    ask(&mut second);
+    ask(&mut third);
+    let begun = Instant::now();
+    let waits = loop {
+        assert!(begun.elapsed() < LONG, "nobody is refused");
+        if third.has_more() {
+            break (&mut second, &mut third);
+        }
+        if second.has_more() {
+            break (&mut third, &mut second);
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    };
+    let (waits, refused) = waits;
+    let answer = refused.read();
+    assert_eq!(
+        (answer.status(), answer.header("retry-after")),
+        (503, Some("2")),
+        "whole seconds, rounded up"
+    );
+    peer.answer("200 OK", "", "first");
+    assert_eq!(first.read().body, b"first");
+    peer.read();
+    // The one that waited is in hand now; a client that leaves while it waits makes room for nobody but the next.
+    ask(&mut first);
+    drop(first);
+    peer.answer("200 OK", "", "second");
+    assert_eq!(waits.read().body, b"second");
+    let mut next = node.client();
+    ask(&mut next);
+    peer.read();
+    peer.answer("200 OK", "", "next");
+    assert_eq!(next.read().body, b"next");
+}
+
+#[test]
+fn a_tenant_beyond_its_rate_is_refused_and_told_when_to_come_back() {
+    let backend = Listener::new();
+    let terms = format!("{SAFE}\ntenant-rate = {{ rate = \"2/m\", burst = 2 }}\nbudget = {{ share = 0.2 }}");
+    let text =
+        simple(&[backend.address()], &terms) + "[[tenant]]\nname = \"pati\"\n[[tenant]]\nname = \"kudus\"\n";
+    let node = Node::from_file(&text);
+    let mut client = node.client();
+    let mut peer: Option<Peer> = None;
+    let mut served = |client: &mut Peer, tenant: &str| {
+        client.write(format!("GET /a HTTP/1.1\r\nHost: t\r\nX-Account: {tenant}\r\n\r\n"));
+        let peer = peer.get_or_insert_with(|| backend.accept());
+        peer.read();
+        peer.answer("200 OK", "", "");
+        assert_eq!(client.read().status(), 200);
+    };
+    served(&mut client, "pati");
+    served(&mut client, "pati");
+    let answer = get(&mut client, "/a", "X-Account: pati\r\n");
+    assert_eq!(answer.status(), 429);
+    let after: u64 = answer.header("retry-after").and_then(|t| t.parse().ok()).expect("a wait");
+    assert!((2..=30).contains(&after), "the next one is allowed 30 s after the first: {after}");
+    served(&mut client, "kudus");
+}
+
+// ---- Files that change ---------------------------------------------------------------------------
+
+/// A class turns from keyed into unsafe while one of its requests is in hand: that one is still sent again after an
+/// error, the next one is not; and the other way round.
+#[test]
+fn a_request_in_hand_keeps_the_terms_that_it_was_taken_under() {
+    let (one, other) = (Listener::new(), Listener::new());
+    let boxes = [(one.address(), "east"), (other.address(), "east")];
+    let keyed = "repeat = \"keyed\"\nscope = \"zone\"\nwindow = \"19s\"\nkey-header = \"idempotency-key\"\n\
+        time = \"18s\"\nretry-on = [\"error\"]\nattempts = 2\nattempt-time = \"9s\"";
+    let with = |terms: &str| file(&boxes, &(class("c", terms) + &route("prefix = \"/\"", "c", "")));
+    let node = Node::from_file(&with(keyed));
+    let mut client = node.client();
+    post(&mut client, "/submit", "Idempotency-Key: 1\r\n");
+    let (first, mut peer) = Listener::accept_any(&[&one, &other]);
+    peer.read();
+    node.reload(&with(UNSAFE));
+    node.logged("taken: 1 routes");
+    node.logged("taken: 1 routes");
+    peer.answer("500 Broken", "", "");
+    let mut second = [&one, &other][1 - first].accept();
+    assert_eq!(second.read().header("idempotency-key"), Some("1"), "sent again, as it was promised");
+    // This one is taken under the new file: an error ends it, and its key means nothing.
+    let mut late = node.client();
+    post(&mut late, "/submit", "");
+    let mut peers = [peer, second];
+    let begun = Instant::now();
+    let third = loop {
+        assert!(begun.elapsed() < LONG, "the request reaches no box");
+        if let Some(found) = [0, 1].into_iter().find(|i| peers[*i].has_more()) {
+            break found;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    };
+    assert_eq!(third, 0, "the other connection has a request in hand");
+    peers[0].read();
+    peers[0].answer("500 Broken", "", "");
+    assert_eq!(late.read().status(), 502, "unsafe: failed, and not sent again");
+    peers[1].answer("200 OK", "", "kept");
+    assert_eq!(client.read().body, b"kept");
+    assert!(one.is_untouched() && other.is_untouched());
+}
+
+/// A copy is out when the file changes to one without copies and another cluster: the copy still brings the answer.
+#[test]
+fn a_copy_that_is_out_outlives_its_file() {
+    let (one, other, new) = (Listener::new(), Listener::new(), Listener::new());
+    let boxes = [(one.address(), "east"), (other.address(), "east")];
+    let copied = "repeat = \"safe\"\ntime = \"20s\"\ncopies = { after = \"5ms\", share = 1 }";
+    let text = file(&boxes, &(class("c", copied) + &route("prefix = \"/\"", "c", "")));
+    let node = Node::from_file(&text);
+    let mut client = node.client();
+    client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    let (first, mut peer) = Listener::accept_any(&[&one, &other]);
+    let request = peer.read();
+    let mut copy = [&one, &other][1 - first].accept();
+    assert_eq!(copy.read().header("x-correlation-id"), request.header("x-correlation-id"));
+    let text =
+        format!("[[listener]]\naddress = \"127.0.0.1:0\"\n{}", cluster("fresh", &[(new.address(), "east")]))
+            + &class("c", SAFE)
+            + "[[route]]\nprefix = \"/\"\nclass = \"c\"\ncluster = \"fresh\"\n";
+    node.reload(&text);
+    node.logged("no longer in the file");
+    node.logged("taken: 1 routes, 1 clusters, 1 boxes");
+    // The old cluster has ended only once what it had taken is answered.
+    copy.answer("200 OK", "", "by the copy");
+    assert_eq!(client.read().body, b"by the copy");
+    peer.expect_end();
+    node.logged("the cluster tally has ended");
+    client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    let mut peer = new.accept();
+    peer.read();
+    peer.answer("200 OK", "", "fresh");
+    assert_eq!(client.read().body, b"fresh");
+}
+
+/// Files change 200 times under traffic, every other one bad: each request has one answer, and each is served under one
+/// file: its cluster, its class and its path belong together.
+#[test]
+fn two_hundred_reloads_under_traffic_lose_and_mix_nothing() {
+    let ledger = Arc::new(Ledger::default());
+    let boxes: Vec<_> = (0..4).map(|who| Counting::start(who, ledger.clone(), |_| Fault::None)).collect();
+    // Boxes 0 and 1 are cluster `a` and know `/a/…`, boxes 2 and 3 are `b` and know `/b/…`.
+    let of = |name: &str, boxes: &[Counting]| {
+        let boxes: Vec<_> = boxes.iter().map(|b| (b.address, "east")).collect();
+        cluster(name, &boxes)
+    };
+    let with = |name: &str, boxes: &[Counting], class: &str| {
+        format!(
+            "[[listener]]\naddress = \"127.0.0.1:0\"\n{}[[class]]\nname = \"{class}\"\n{UNSAFE}\n",
+            of(name, boxes)
+        ) + &format!(
+            "[[route]]\ntemplate = \"/sheet/{{id}}\"\nrewrite = \"/{name}/{{id}}\"\nclass = \"{class}\"\ncluster = \"{name}\"\n"
+        )
+    };
+    let files = [with("a", &boxes[..2], "one"), with("b", &boxes[2..], "two")];
+    let bad = format!("{}retry-on = [\"error\"]\n", files[0]);
+    let node = Node::from_file(&files[0]);
+    node.logged("taken: 1 routes");
+    let (over, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..4)
+        .map(|client| {
+            let (over, asked, address) = (over.clone(), asked.clone(), node.address);
+            std::thread::spawn(move || {
+                let mut peer = Peer::connect(address);
+                let mut number = 0u64;
+                while !over.load(Ordering::Relaxed) {
+                    let id = format!("{client}-{number}");
+                    number += 1;
+                    asked.fetch_add(1, Ordering::Relaxed);
+                    post(&mut peer, &format!("/sheet/{id}"), &format!("X-Correlation-Id: {id}\r\n"));
+                    let answer = peer.read();
+                    assert_eq!((answer.status(), &answer.body[..]), (200, id.as_bytes()));
+                }
+                number
+            })
+        })
+        .collect();
+    for round in 0..200 {
+        let before = asked.load(Ordering::Relaxed);
+        if round % 2 == 0 {
+            node.reload(&files[(round / 2 + 1) % 2]);
+            node.logged("taken: 1 routes");
+        } else {
+            node.reload(&bad);
+            node.logged("MW100");
+        }
+        // Some traffic between any two.
+        let begun = Instant::now();
+        while asked.load(Ordering::Relaxed) < before + 8 {
+            assert!(begun.elapsed() < LONG, "no traffic");
+            std::thread::yield_now();
+        }
+    }
+    over.store(true, Ordering::Relaxed);
+    let sent: u64 = clients.into_iter().map(|client| client.join().expect("a client")).sum();
+    let all = ledger.all();
+    assert_eq!(all.len() as u64, sent, "each has run");
+    let mut by_cluster = [0, 0];
+    for (id, runs) in &all {
+        assert_eq!(runs.len(), 1, "{id}: {runs:?}");
+        let cluster = runs[0].who / 2;
+        assert_eq!(runs[0].target, format!("/{}/{id}", ["a", "b"][cluster]), "a mixed configuration");
+        by_cluster[cluster] += 1;
+    }
+    assert!(by_cluster.iter().all(|n| *n > 100), "{by_cluster:?}");
+}
+
+/// A box that the new file says drains gets nothing more; what it has in hand is answered.
+#[test]
+fn a_box_that_drains_by_the_file_gets_nothing_new() {
+    let (one, other) = (Listener::new(), Listener::new());
+    let text = simple(&[one.address(), other.address()], SAFE);
+    let node = Node::from_file(&text);
+    let mut client = node.client();
+    client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    let (first, mut held) = Listener::accept_any(&[&one, &other]);
+    held.read();
+    let name = format!("name = \"tally-{first}\"\n");
+    node.reload(&text.replace(&name, &format!("{name}state = \"draining\"\n")));
+    node.logged("taken: 1 routes");
+    node.logged("taken: 1 routes");
+    let mut second = node.client();
+    let mut peer: Option<Peer> = None;
+    for _ in 0..20 {
+        second.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+        let peer = peer.get_or_insert_with(|| [&one, &other][1 - first].accept());
+        peer.read();
+        peer.answer("200 OK", "", "");
+        assert_eq!(second.read().status(), 200);
+    }
+    held.answer("200 OK", "", "held");
+    assert_eq!(client.read().body, b"held");
+    held.expect_end();
+    assert!([&one, &other][first].is_untouched());
+}
+
+/// Listeners may change with the file; one that can't be opened leaves everything as it was.
+#[test]
+fn listeners_change_with_the_file_or_nothing_does() {
+    let backend = Listener::new();
+    let taken = Listener::new();
+    let text = simple(&[backend.address()], SAFE);
+    let node = Node::from_file(&text);
+    node.reload(&text.replace("127.0.0.1:0", &taken.address().to_string()));
+    node.logged("refused, going on with the file as it was");
+    let mut client = node.client();
+    client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    let mut peer = backend.accept();
+    peer.read();
+    peer.answer("200 OK", "", "");
+    assert_eq!(client.read().status(), 200);
+    // Another address of loopback, at a port that was free a moment ago on all of them.
+    let free = TcpStream::connect(node.address).expect("a connection").local_addr().expect("its port").port();
+    let moved = SocketAddr::from(([127, 0, 0, 7], free));
+    node.reload(&text.replace("127.0.0.1:0", &moved.to_string()));
+    node.logged("taken: 1 routes");
+    // The old connection is still served, and the new address too.
+    for mut client in [client, Peer::connect(moved)] {
+        client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+        peer.read();
+        peer.answer("200 OK", "", "");
+        assert_eq!(client.read().status(), 200);
+    }
+}
+
+#[test]
+fn sigterm_ends_it_once_all_is_answered() {
+    let backend = Listener::new();
+    let mut node = Node::from_file(&simple(&[backend.address()], SAFE));
+    let mut client = node.client();
+    client.write("GET /a HTTP/1.1\r\nHost: t\r\n\r\n");
+    let mut peer = backend.accept();
+    peer.read();
+    node.terminate();
+    node.logged("told to end");
+    peer.answer("200 OK", "", "last");
+    let answer = client.read();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(node.wait().success());
+}
+
+// ---- The command line ----------------------------------------------------------------------------
+
+#[test]
+fn a_bad_file_does_not_start_and_exits_with_its_own_code() {
+    let bad = OnDisk::new("[[listener]]\naddress = \"127.0.0.1:0\"\nport = 1\n");
+    let folder = std::env::temp_dir();
+    for command_name in ["run", "check"] {
+        let ended = command(&[command_name, bad.path()]);
+        let said = String::from_utf8_lossy(&ended.stderr);
+        assert_eq!(ended.status.code(), Some(3), "{said}");
+        assert!(said.contains("MW010") && said.contains(":3:1"), "{said}");
+        let ended = command(&[command_name, folder.to_str().expect("a path")]);
+        assert_eq!(ended.status.code(), Some(3));
+        assert!(String::from_utf8_lossy(&ended.stderr).contains("is a folder"));
+        let ended = command(&[command_name, "/nowhere/at-all.toml"]);
+        assert_eq!(ended.status.code(), Some(3));
+        assert!(String::from_utf8_lossy(&ended.stderr).contains("MW003"));
+    }
+    assert_eq!(command(&["check"]).status.code(), Some(2));
+    assert_eq!(command(&["swim"]).status.code(), Some(2));
+}
+
+/// A pipe in place of a file would hold up a check, or a node that reads it anew, for ever.
+#[test]
+fn a_pipe_is_no_file() {
+    let path = std::env::temp_dir().join(format!("marlwinch-pipe-{}", std::process::id()));
+    let made = std::process::Command::new("mkfifo").arg(&path).status().expect("mkfifo");
+    assert!(made.success());
+    let ended = command(&["check", path.to_str().expect("a path")]);
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(ended.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&ended.stderr).contains("is no ordinary file"));
+}
+
+#[test]
+fn check_says_nothing_of_a_good_file_and_one_object_with_json() {
+    let good = OnDisk::new(&simple(&[SocketAddr::from(([127, 0, 0, 1], 9001))], SAFE));
+    let ended = command(&["check", good.path()]);
+    assert_eq!((ended.status.code(), ended.stdout.len(), ended.stderr.len()), (Some(0), 0, 0));
+    let json = |path: &str| -> (Option<i32>, serde_json::Value) {
+        let ended = command(&["check", "--json", path]);
+        (ended.status.code(), serde_json::from_slice(&ended.stdout).expect("JSON"))
+    };
+    let (code, report) = json(good.path());
+    assert_eq!(
+        (code, &report["accepted"], &report["faults"]),
+        (Some(0), &true.into(), &serde_json::json!([]))
+    );
+    let bad = OnDisk::new(&simple(
+        &[SocketAddr::from(([127, 0, 0, 1], 9001))],
+        "repeat = \"unsafe\"\nretry-on = [\"error\"]",
+    ));
+    let (code, report) = json(bad.path());
+    assert_eq!((code, &report["accepted"]), (Some(3), &false.into()));
+    let fault = &report["faults"][0];
+    assert_eq!((&fault["code"], &fault["rule"]), (&"MW100".into(), &"no-effect-twice".into()));
+    assert_eq!(fault["start"], serde_json::json!({"line": 12, "column": 12}));
+    assert!(fault["help"].as_str().is_some_and(|help| help.contains("never-ran")));
+    assert_eq!(fault["also"][0]["start"]["line"], 11);
+}
+
+#[test]
+fn explain_tells_the_route_the_limits_and_the_attempts() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.toml");
+    let explained = |rest: &[&str]| {
+        let ended = command(&[&["explain", example][..], rest].concat());
+        (ended.status.code(), String::from_utf8_lossy(&ended.stdout).into_owned(), ended.stderr)
+    };
+    let (code, text, _) = explained(&["POST", "/tally-submit/%37f3a?a=b", "-H", "Idempotency-Key: 1"]);
+    assert_eq!(code, Some(0));
+    for line in [
+        "class    tally-submit: keyed, repeats are dropped within a zone for 600ms",
+        "sent as  POST /tally-submit/7f3a?a=b",
+        "defaults, line 13",
+        "class, line 53",
+        "built in",
+        "3  from 0ms to 500ms, over by 750ms; once one may have run, to boxes of its zone within 600ms of that",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+    let (code, _, said) = explained(&["GET", "/tally-submit/7f3a"]);
+    assert_eq!((code, String::from_utf8_lossy(&said).contains("405")), (Some(4), true));
+    let (code, _, said) = explained(&["GET", "/tally/..%2f"]);
+    assert_eq!((code, String::from_utf8_lossy(&said).contains("400")), (Some(4), true));
+}
+
+/// The example of the README, with real boxes behind it.
+#[test]
+fn the_example_serves_each_of_its_classes() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.toml");
+    let mut text = std::fs::read_to_string(example).expect("the example");
+    let ledger = Arc::new(Ledger::default());
+    let boxes: Vec<_> = (0..3).map(|who| Counting::start(who, ledger.clone(), |_| Fault::None)).collect();
+    for (i, b) in boxes.iter().enumerate() {
+        text = text.replace(&format!("127.0.0.1:900{}", i + 1), &b.address.to_string());
+    }
+    let node = Node::from_file(&text.replace("127.0.0.1:8080", "127.0.0.1:0"));
+    let mut client = node.client();
+    assert_eq!(get(&mut client, "/tally/7f3a", "X-Correlation-Id: 1\r\n").body, b"1");
+    post(&mut client, "/tally-submit/7f3a", "X-Correlation-Id: 2\r\nIdempotency-Key: k\r\n");
+    assert_eq!(client.read().body, b"2");
+    post(&mut client, "/tally-correct/7f3a", "X-Correlation-Id: 3\r\n");
+    assert_eq!(client.read().body, b"3");
+}
--- a/crates/marlwinch/tests/peers/mod.rs
+++ b/crates/marlwinch/tests/peers/mod.rs
@@ -1,10 +1,11 @@
 //! A node as a process, and the peers of its test: clients, backends and discovery on loopback, one blocking call at
 //! a time. What does not come within [`LONG`] has failed; nothing else depends on time.
+#![allow(dead_code)] // each test file uses its own part of this
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
@@ -54,12 +55,42 @@
     pub log: Receiver<String>,
 }
 
+/// A path of its own for a file of a test.
+fn own_path(end: &str) -> PathBuf {
+    let unique = (std::process::id(), std::thread::current().id(), Instant::now());
+    std::env::temp_dir().join(format!("marlwinch-{unique:?}.{end}").replace(['(', ')', ' ', '{', '}'], ""))
+}
+
+/// Runs a command of the program to its end.
+pub fn command(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marlwinch"));
+    command.args(arguments).env("NO_COLOR", "1").output().expect("the program runs")
+}
+
+/// An operator's file on the disk, which goes with this.
+pub struct OnDisk(pub PathBuf);
+
+impl OnDisk {
+    pub fn new(text: &str) -> Self {
+        let path = own_path("toml");
+        std::fs::write(&path, text).expect("the file is written");
+        OnDisk(path)
+    }
+    pub fn path(&self) -> &str {
+        self.0.to_str().expect("a path")
+    }
+}
+
+impl Drop for OnDisk {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
 /// Starts a node's process with this text as its configuration, which is left in the file returned, and perhaps with
 /// this value of `ROUTER_DISCOVERY`.
 fn spawn(config: &str, discovery: Option<SocketAddr>) -> (Child, PathBuf, Receiver<String>) {
-    let unique = (std::process::id(), std::thread::current().id(), Instant::now());
-    let path = std::env::temp_dir()
-        .join(format!("marlwinch-{unique:?}.json").replace(['(', ')', ' ', '{', '}'], ""));
+    let path = own_path("json");
     std::fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_marlwinch"));
     if let Some(discovery) = discovery {
@@ -67,13 +98,14 @@
     } else {
         command.env_remove("ROUTER_DISCOVERY");
     }
-    let mut child = command
-        .env("ROUTER_CONFIG", &path)
-        .env_remove("ROUTER_LISTEN")
-        .env_remove("ROUTER_NAME")
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the node starts");
+    command.env("ROUTER_CONFIG", &path).env_remove("ROUTER_LISTEN").env_remove("ROUTER_NAME");
+    let (child, log) = start(command);
+    (child, path, log)
+}
+
+/// Starts a process and hands on the lines of its log.
+fn start(mut command: Command) -> (Child, Receiver<String>) {
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the node starts");
     let mut errors = std::io::BufReader::new(child.stderr.take().expect("its log"));
     let (sender, log) = channel();
     std::thread::spawn(move || {
@@ -82,7 +114,7 @@
             let _ = sender.send(std::mem::take(&mut line));
         }
     });
-    (child, path, log)
+    (child, log)
 }
 
 /// Starts a node that can't run, and returns how it ended and all it said.
@@ -98,9 +130,23 @@
         Node::start_with(config, None)
     }
 
+    /// Starts a node from an operator's file alone; its one listener is at port 0.
+    pub fn from_file(text: &str) -> Node {
+        let file = own_path("toml");
+        std::fs::write(&file, text).expect("the file is written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marlwinch"));
+        command.arg("run").arg(&file).env_remove("ROUTER_CONFIG");
+        let (child, log) = start(command);
+        Node::listening(child, file, log)
+    }
+
     /// The same with a value of `ROUTER_DISCOVERY`.
     pub fn start_with(config: &str, discovery: Option<SocketAddr>) -> Node {
         let (child, file, log) = spawn(config, discovery);
+        Node::listening(child, file, log)
+    }
+
+    fn listening(child: Child, file: PathBuf, log: Receiver<String>) -> Node {
         let mut node = Node { child, file, address: SocketAddr::from(([127, 0, 0, 1], 0)), log };
         let line = node.logged("listens on");
         let address = line.split("listens on ").nth(1).and_then(|rest| rest.split([':', ' ']).nth(1));
@@ -119,7 +165,7 @@
     }
 
     pub fn client(&self) -> Peer {
-        Peer::new(TcpStream::connect(self.address).expect("the node accepts"))
+        Peer::connect(self.address)
     }
 
     /// Sends SIGTERM.
@@ -221,6 +267,16 @@
 }
 
 impl Peer {
+    pub fn connect(address: SocketAddr) -> Self {
+        Peer::new(TcpStream::connect(address).expect("it accepts"))
+    }
+    /// Whether something has come that is not read yet.
+    pub fn has_more(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("a socket");
+        let more = self.stream.peek(&mut [0]).is_ok_and(|n| n > 0);
+        self.stream.set_nonblocking(false).expect("a socket");
+        more
+    }
     fn new(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(LONG)).expect("a socket");
         stream.set_write_timeout(Some(LONG)).expect("a socket");
