--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -7,11 +7,11 @@
 use crate::resolve::{Level, Levels, Resolved, Sourced};
 use crate::route::{Condition, HostRule, Pattern, ties};
 use crate::target;
-use crate::units::show;
 use http::Method;
 use larchspread::{Repeat, Scope};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
+use units::show;
 
 /// As many zones as the decision module tells apart.
 const MOST_ZONES: usize = 200;
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -7,11 +7,11 @@
 use crate::resolve::{Resolved, Sourced};
 use crate::route::Found;
 use crate::target::{self, BadPath};
-use crate::units::show;
 use http::{HeaderMap, Method};
 use larchspread::{Repeat, Scope};
 use std::fmt::{self, Write};
 use std::time::Duration;
+use units::show;
 
 /// Why there is nothing to explain.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod resolve;
 pub mod route;
 pub mod target;
-pub mod units;
 
 pub use parse::LARGEST;
 pub use plan::{BoxPlan, ClusterPlan, KeySource, Plan, RoutePlan};
--- a/crates/operator/src/read.rs
+++ b/crates/operator/src/read.rs
@@ -3,11 +3,11 @@
 
 use crate::diagnostic::{Code, Diagnostic, Report};
 use crate::model::{At, Span};
-use crate::units::{self, BadDuration};
 use std::net::SocketAddr;
 use std::time::Duration;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
+use units::{self, BadDuration};
 
 /// A word this like a known one was meant for it.
 const ALIKE: f64 = 0.7;
--- a/crates/operator/src/units.rs
+++ b/crates/units/src/lib.rs
@@ -1,8 +1,13 @@
-//! Values with units as the file writes them: durations, shares, rates. Knows nothing of keys or places.
+//! Values with units as files write them: durations, shares, rates, sizes. Knows nothing of files.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
-use larchspread::Settings;
+use serde::{Deserialize, Deserializer, de};
 use std::time::Duration;
 
+/// The longest duration that is read.
+pub const DAY: Duration = Duration::from_secs(86_400);
+
 /// Why a text is no duration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BadDuration {
@@ -30,7 +35,7 @@
     }
     let (_, nanos) = UNITS.iter().find(|(name, _)| *name == unit).ok_or(BadDuration::Form)?;
     let nanos = number * nanos;
-    if nanos > Settings::LONGEST.as_nanos() as f64 {
+    if nanos > DAY.as_nanos() as f64 {
         return Err(BadDuration::TooLong);
     }
     Ok(Duration::from_nanos(nanos.round() as u64))
@@ -83,6 +88,47 @@
     number.parse::<u64>().ok()?.checked_mul(1 << shift)
 }
 
+/// A duration in a file that is read by serde.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Time(pub Duration);
+
+impl<'de> Deserialize<'de> for Time {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        let units = "write a number and a unit, such as `250ms` or `1.5s`";
+        duration(&text).map(Time).map_err(|e| {
+            de::Error::custom(match e {
+                BadDuration::NoUnit => format!("{text:?} has no unit: {units}"),
+                BadDuration::TooLong => format!("{text:?} is longer than a day"),
+                BadDuration::Form => format!("{text:?} is no duration: {units}"),
+            })
+        })
+    }
+}
+
+/// A share in a file that is read by serde: a number from 0 to 1, or `20%`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share(pub f64);
+
+impl<'de> Deserialize<'de> for Share {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Written {
+            Number(f64),
+            Text(String),
+        }
+        let read = match Written::deserialize(from)? {
+            Written::Number(number) => Some(number),
+            Written::Text(text) => percent(&text),
+        };
+        let share = read.filter(|share| (0.0..=1.0).contains(share));
+        share
+            .map(Share)
+            .ok_or_else(|| de::Error::custom("a share is a number from 0 to 1, or a text such as \"20%\""))
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
