--- a/crates/load/src/engine.rs
+++ b/crates/load/src/engine.rs
@@ -33,6 +33,9 @@
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const SERVED_BY: HeaderName = HeaderName::from_static("x-served-by");
 
+/// A client waits a little longer than it says, so that an answer in the last moment still finds it there.
+const SLACK: Duration = Duration::from_millis(50);
+
 /// Something that bytes go through.
 pub trait Io: AsyncRead + AsyncWrite + Unpin + Send {}
 impl<T: AsyncRead + AsyncWrite + Unpin + Send> Io for T {}
@@ -448,7 +451,7 @@
             headers.extend(HeaderValue::try_from(text).ok().map(|value| (name, value)));
         };
         put(CORRELATION, id.to_string());
-        put(TIME_LEFT, format!("{:.3}", left.as_secs_f64()));
+        put(TIME_LEFT, format!("{:.3}", left.saturating_sub(SLACK).as_secs_f64()));
         if keyed {
             put(KEY, format!("{:x}-{:x}", self.plan.schedule.seed, job.number));
         }
--- a/crates/marlwinch/src/cli.rs
+++ b/crates/marlwinch/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line: what each command is asked and how it answers. The work is done elsewhere.
 
+use crate::demo::{self, DemoArguments};
+use crate::load_cli::{self, LoadArguments, LoadError};
 use crate::{faults, file_node, file_source, logging, platform};
 use clap::{Parser, Subcommand};
 use hyper::Method;
@@ -15,6 +17,10 @@
 const REFUSED: u8 = 3;
 /// No route takes the request that is to be explained.
 const NO_ROUTE: u8 = 4;
+/// A run of the load generator says nothing, as it could not keep up.
+const NOT_VALID: u8 = 5;
+/// The demonstration found a rule broken.
+const BROKEN: u8 = 6;
 
 const ABOUT: &str =
     "A load-balancing node: it takes clients' requests, sends each to a box by Join-Up-To(m), and sees to \
@@ -29,11 +35,15 @@
   2  the command line makes no sense
   3  the operator's file is refused
   4  no route takes the request that was to be explained
+  5  the load generator could not keep up: its report says why, and is not valid
+  6  the demonstration found a rule broken, or is not valid
 
 Examples:
   marlwinch check deploy/example.toml
   marlwinch explain deploy/example.toml POST /tally-submit/7f3a -H 'Idempotency-Key: 1'
   marlwinch run deploy/example.toml
+  marlwinch demo
+  marlwinch load 127.0.0.1:8080 --rate 200 --for 10s
 
 A running node takes its file in anew on SIGHUP, whole or not at all, and ends on SIGTERM or SIGINT once all that it has
 taken is answered. It logs to standard error; MARLWINCH_LOG=debug shows each attempt that fails.";
@@ -47,6 +57,10 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Play an evening on loopback: boxes, discovery, a node and traffic, and what became of the four rules
+    Demo(DemoArguments),
+    /// Send load on an open-loop schedule, or compare two reports of it
+    Load(LoadArguments),
     /// Run a node from an operator's file alone, with the boxes listed in it
     Run {
         /// The operator's file (TOML); docs/operators/file.md has every key
@@ -85,12 +99,28 @@
 pub fn main() -> ExitCode {
     match Arguments::parse().command {
         None => platform::main(),
+        Some(Command::Demo(asked)) => match demo::main(&asked) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(BROKEN),
+            Err(e) => failed(&e, FAILED),
+        },
+        Some(Command::Load(asked)) => match load_cli::main(asked) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(NOT_VALID),
+            Err(LoadError::Asked(e)) => failed(&e, 2),
+            Err(LoadError::Failed(e)) => failed(&e, FAILED),
+        },
         Some(Command::Run { file }) => run(&file),
         Some(Command::Check { file, json }) => check(&file, json),
         Some(Command::Explain { file, method, path, headers }) => explained(&file, &method, &path, headers),
     }
 }
 
+fn failed(what: &str, code: u8) -> ExitCode {
+    eprintln!("marlwinch: {what}");
+    ExitCode::from(code)
+}
+
 fn run(file: &Path) -> ExitCode {
     logging::start();
     match file_node::run(file) {
--- a/crates/marlwinch/src/clients.rs
+++ b/crates/marlwinch/src/clients.rs
@@ -3,10 +3,11 @@
 use crate::admit::Places;
 use crate::backends::{LARGEST_BODY, LARGEST_HEAD, Payload, Reply};
 use crate::front::{Bad, Front, Taken, refused};
-use crate::headers::{CORRELATION, end_to_end};
+use crate::headers::{CORRELATION, IDEMPOTENCY_KEY, end_to_end};
 use crate::heads::{Heads, WatchedClient};
 use crate::logging;
 use crate::node::{Answer, Arrival, NodeEvent};
+use crate::recorder::Recorder;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -57,6 +58,8 @@
     pub front: RefCell<Rc<dyn Front>>,
     /// The limits before the decision module, where there are any.
     pub places: Places,
+    /// Writes down what is taken, where the operator wants a trace.
+    pub recorder: RefCell<Option<Recorder>>,
     /// What a client is told to wait that finds no memory left.
     pub retry_after: Option<Duration>,
     /// Whether there is a list of backends to work with.
@@ -356,6 +359,11 @@
     // Where it has waited for a place, the file may have been read anew.
     let front = reread(clients, front, &head, &mut taken)?;
     taken.new.id = id;
+    if let Some(recorder) = &*clients.recorder.borrow() {
+        let (class, tenant) = front.labels(&taken);
+        let key = head.headers.contains_key(IDEMPOTENCY_KEY);
+        recorder.take(head.method.as_str(), taken_target(&head), class, tenant, key, body.len());
+    }
     let mut headers = end_to_end(head.headers);
     for (name, value) in taken.headers {
         headers.insert(name, value);
@@ -376,6 +384,11 @@
     }
 }
 
+/// The target as it came.
+fn taken_target(head: &Parts) -> &str {
+    head.uri.path_and_query().map_or("/", |target| target.as_str())
+}
+
 fn asks_whether_ready(head: &Parts) -> bool {
     head.uri.path() == "/ready" && head.method == Method::GET
 }
--- a/crates/marlwinch/src/config.rs
+++ b/crates/marlwinch/src/config.rs
@@ -93,7 +93,7 @@
 }
 
 /// Reads the text of a configuration. An error names the field.
-fn parse(text: &[u8]) -> Result<Config, String> {
+pub fn parse(text: &[u8]) -> Result<Config, String> {
     let mut json = serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
     json.end().map_err(|e| e.to_string())?;
--- a/crates/marlwinch/src/file_front.rs
+++ b/crates/marlwinch/src/file_front.rs
@@ -113,6 +113,12 @@
         true
     }
 
+    fn labels(&self, taken: &Taken) -> (String, Option<String>) {
+        let class = taken.route.map(|number| self.plan.routes[number].class_name.clone());
+        let tenant = taken.limit.and_then(|(_, tenant)| self.plan.tenants.get(tenant?));
+        (class.unwrap_or_default(), tenant.cloned())
+    }
+
     fn read(&self, head: &Parts) -> Result<Taken, Bad> {
         let plan = &self.plan;
         let (host, host_header) = host(head)?;
@@ -177,6 +183,7 @@
             target: target.ok_or_else(|| Bad::request("no path"))?,
             headers,
             patience: Some(Patience { connect: terms.connect_time.value, stall: terms.longest_attempt() }),
+            route: Some(number),
             limit: Some((route.limit, tenant)),
         })
     }
--- a/crates/marlwinch/src/file_node.rs
+++ b/crates/marlwinch/src/file_node.rs
@@ -10,6 +10,7 @@
 use crate::listing::Update;
 use crate::node::{Clock, Node, NodeEvent};
 use crate::platform::{KEPT_FREE, KIB_A_CLIENT};
+use crate::recorder::Recorder;
 use larchspread::settings::Column;
 use larchspread::{Balancer, ListKind, ServerEntry, ServerId};
 use log::{error, info, warn};
@@ -168,10 +169,13 @@
     }
     describe(&path, &plan);
     let (sockets, memory) = (plan.sockets, plan.memory);
+    let recorder = recorder_of(&plan)?;
+    let mut recorded = plan.trace.clone();
     let front = FileFront::new(Rc::new(plan), clusters, ids.clone());
     let clients = Rc::new(Clients {
         front: RefCell::new(Rc::new(front)),
         places: places.clone(),
+        recorder: RefCell::new(recorder),
         retry_after: Some(Duration::from_secs(1)),
         ready: Rc::new(Cell::new(true)),
         ending: Cell::new(false),
@@ -210,6 +214,14 @@
                 if plan.sockets != sockets || plan.memory != memory {
                     warn!("{}: `sockets` and `memory` hold from the next start on", path.display());
                 }
+                if plan.trace != recorded {
+                    match recorder_of(&plan) {
+                        Ok(recorder) => drop(clients.recorder.replace(recorder)),
+                        // A node without its trace serves as well as with it.
+                        Err(e) => warn!("no trace from now on: {e}"),
+                    }
+                    recorded = plan.trace.clone();
+                }
                 let clusters = fleet.apply(&plan);
                 places.replace(&plan.limits, &plan.tenants);
                 describe(&path, &plan);
@@ -231,6 +243,13 @@
     }
 }
 
+fn recorder_of(plan: &Plan) -> Result<Option<Recorder>, String> {
+    let Some(trace) = &plan.trace else { return Ok(None) };
+    let path = Path::new(&trace.file);
+    let recorder = Recorder::to_file(path, trace.queue, trace.most);
+    recorder.map(Some).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn describe(path: &Path, plan: &Plan) {
     let boxes: usize = plan.clusters.iter().map(|cluster| cluster.boxes.len()).sum();
     info!(
--- a/crates/marlwinch/src/front.rs
+++ b/crates/marlwinch/src/front.rs
@@ -21,6 +21,8 @@
     fn read(&self, head: &Parts) -> Result<Taken, Bad>;
     /// Whether waits are told in whole seconds, as clients at large expect, or as exactly as they are known.
     fn whole_seconds(&self) -> bool;
+    /// The names of a request's class and tenant, for a recorded trace.
+    fn labels(&self, taken: &Taken) -> (String, Option<String>);
 }
 
 /// A request whose head has been understood.
@@ -37,6 +39,8 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// How long is waited for a backend that makes no progress.
     pub patience: Option<Patience>,
+    /// The number of its route, where there are routes.
+    pub route: Option<usize>,
     /// The limit that holds for it and its tenant, by their numbers in the file.
     pub limit: Option<(usize, Option<usize>)>,
 }
--- a/crates/marlwinch/src/platform.rs
+++ b/crates/marlwinch/src/platform.rs
@@ -13,6 +13,7 @@
 use larchspread::Balancer;
 use log::{error, info};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -42,7 +43,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match LocalSet::new().block_on(&runtime, run(config)) {
+    match LocalSet::new().block_on(&runtime, run(config, |_| {})) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             error!("{what}");
@@ -51,8 +52,8 @@
     }
 }
 
-/// Runs the node until SIGTERM and all is answered.
-async fn run(config: Config) -> Result<(), String> {
+/// Runs the node until SIGTERM and all is answered. `listening` is told where clients connect.
+pub async fn run(config: Config, listening: impl FnOnce(SocketAddr)) -> Result<(), String> {
     // Before anything else: a signal that nobody handles ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
@@ -74,6 +75,7 @@
     let ready = Rc::new(Cell::new(false));
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     info!("{} listens on {address}: at most {most_clients} clients", config.name);
+    listening(address);
 
     let balancer = Balancer::new(config.settings.clone(), config.seed);
     let node = Node::new(balancer, Clock::start(), backends, events.clone(), ready.clone());
@@ -101,6 +103,7 @@
     let clients = Rc::new(Clients {
         front: RefCell::new(Rc::new(front)),
         places: Places::default(),
+        recorder: RefCell::default(),
         retry_after,
         ready,
         ending: Cell::new(false),
--- a/crates/marlwinch/src/platform_front.rs
+++ b/crates/marlwinch/src/platform_front.rs
@@ -24,6 +24,11 @@
         false
     }
 
+    fn labels(&self, taken: &Taken) -> (String, Option<String>) {
+        let class = self.host.classes.get(taken.new.class).cloned().unwrap_or_default();
+        (class, self.host.tenants.get(taken.new.tenant).cloned())
+    }
+
     fn read(&self, head: &Parts) -> Result<Taken, Bad> {
         let mut parts = head.uri.path().split('/').skip(1);
         let name = parts.next().unwrap_or_default();
@@ -77,7 +82,7 @@
             client_retry: header(&REPEAT)? == Some("1"),
         };
         let events = self.events.clone();
-        Ok(Taken { new, id, events, target, headers: Vec::new(), patience: None, limit: None })
+        Ok(Taken { new, id, events, target, headers: Vec::new(), patience: None, route: None, limit: None })
     }
 }
 
--- a/crates/operator/src/model.rs
+++ b/crates/operator/src/model.rs
@@ -30,6 +30,8 @@
 pub struct File {
     /// `[node]`.
     pub node: Node,
+    /// `[trace]`: what is written down.
+    pub trace: Option<Trace>,
     /// `[[listener]]`.
     pub listeners: Vec<Listener>,
     /// `[defaults]`: terms that classes and routes inherit.
@@ -67,6 +69,17 @@
     pub keep_encoded_slash: Option<At<bool>>,
 }
 
+/// `[trace]`: requests that are taken are written down, to be replayed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trace {
+    /// Where to.
+    pub file: String,
+    /// Lines that may wait for the disk; more are dropped and counted.
+    pub queue: usize,
+    /// The largest that the file gets, in bytes.
+    pub most: u64,
+}
+
 /// `[[listener]]`.
 #[derive(Clone, Debug)]
 pub struct Listener {
--- a/crates/operator/src/parse.rs
+++ b/crates/operator/src/parse.rs
@@ -41,7 +41,9 @@
     let mut root = Section::new(document.get_ref(), 0..0, "the file");
     let node = root.get("node").and_then(|v| read::table(v, "[node]", report));
     let defaults = root.get("defaults").and_then(|v| read::table(v, "[defaults]", report));
+    let trace = root.get("trace").and_then(|v| read::table(v, "[trace]", report));
     let file = File {
+        trace: trace.and_then(|section| trace_of(section, report)),
         node: node.map(|section| node_of(section, report)).unwrap_or_default(),
         listeners: each(root.get("listener"), "[listener]", report, listener),
         defaults: defaults.map(|section| only_terms(section, report)).unwrap_or_default(),
@@ -91,6 +93,23 @@
     node
 }
 
+/// Lines that wait for the disk where the file does not say: a second's, at a high rate.
+const TRACE_QUEUE: usize = 10_000;
+/// The largest trace where the file does not say.
+const TRACE_MOST: u64 = 256 << 20;
+
+fn trace_of(mut s: Section, report: &mut Report) -> Option<Trace> {
+    let file = s.need("file", "\"/var/tmp/trace.jsonl\"", report).and_then(|v| read::text(v, report));
+    let queue = s.get("queue").and_then(|v| count::<u32>(v, (1, 10_000_000), report));
+    let most = s.get("most").and_then(|v| read::bytes(v, (1 << 10, 1 << 40), report));
+    s.finish(report);
+    Some(Trace {
+        file: file?.value,
+        queue: queue.map_or(TRACE_QUEUE, |queue| queue.value as usize),
+        most: most.map_or(TRACE_MOST, |most| most.value),
+    })
+}
+
 fn listener(mut s: Section, report: &mut Report) -> Option<Listener> {
     let address = s.need("address", "\"127.0.0.1:8080\"", report).and_then(|v| read::address(v, report));
     s.finish(report);
--- a/crates/operator/src/plan.rs
+++ b/crates/operator/src/plan.rs
@@ -43,6 +43,8 @@
     pub tenant_header: HeaderName,
     /// The tenants by name; where there are none, nobody is asked.
     pub tenants: Vec<String>,
+    /// What is written down of the requests that are taken.
+    pub trace: Option<crate::model::Trace>,
     /// Where to listen.
     pub listeners: Vec<SocketAddr>,
     /// The clusters.
@@ -104,6 +106,8 @@
 pub struct RoutePlan {
     /// Its name, or its path.
     pub name: String,
+    /// The name of its class.
+    pub class_name: String,
     /// The number of its cluster.
     pub cluster: usize,
     /// The class of its requests, by its number in the cluster's settings.
@@ -177,6 +181,7 @@
         };
         plans.push(RoutePlan {
             name: its_name,
+            class_name: class.name.value.clone(),
             cluster: checked.cluster,
             class: number,
             limit,
@@ -198,6 +203,7 @@
         keep_encoded_slash: file.node.keep_encoded_slash.as_ref().is_some_and(|keep| keep.value),
         tenant_header: file.node.tenant_header.as_ref().map_or(TENANT_HEADER, |header| header.value.clone()),
         tenants: file.tenants.iter().map(|tenant| tenant.name.value.clone()).collect(),
+        trace: file.trace.clone(),
         listeners: file.listeners.iter().map(|listener| listener.address.value).collect(),
         clusters,
         table: Table::new(conditions),
