--- a/crates/load/tests/runs.rs
+++ b/crates/load/tests/runs.rs
@@ -256,3 +256,32 @@
         assert!(at.abs_diff(due) <= Duration::from_millis(1), "{number}: {at:?}");
     }
 }
+
+/// A generator that is held up itself: for a fifth of a second of one nothing goes. That is its own fault, and said.
+#[test]
+fn a_sender_that_is_held_up_is_not_valid() {
+    struct HoldsUp(std::sync::atomic::AtomicBool, tokio::runtime::Handle);
+    impl Connect for HoldsUp {
+        fn connect(&self) -> Connecting {
+            if !self.0.swap(true, Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(300));
+            }
+            let (ours, theirs) = duplex(64 << 10);
+            self.1.spawn(serve(theirs, Instant::now(), Arc::new(|at| (at, OK))));
+            Box::pin(async move { Ok(Box::new(ours) as Box<dyn Io>) })
+        }
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let handle = runtime.handle().clone();
+    std::thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+    let connect: Arc<dyn Connect> = Arc::new(HoldsUp(Default::default(), handle));
+    let finished = load::engine::run(&plan(100.0, 1, ""), &connect, &Arc::default(), false).expect("a run");
+    assert!(
+        finished.verdict.reasons.iter().any(|r| r.contains("behind its schedule")),
+        "{:?}",
+        finished.verdict
+    );
+    // Latency counts from the intended time, so the hold-up shows there as well.
+    assert!(finished.record.all.latency.value_at_quantile(0.99) > 150_000);
+    assert_eq!(finished.due, 100);
+}
--- /dev/null
+++ b/crates/marlwinch/tests/demo.rs
@@ -0,0 +1,149 @@
+//! The demonstration and the load generator as commands. Alone in their process, for the sake of their times.
+
+use standins::script::Script;
+use standins::world::World;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(60);
+
+/// One at a time: each wants the machine for itself.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marlwinch"));
+    command.env("NO_COLOR", "1");
+    command
+}
+
+fn load(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let Output { status, stdout, stderr } =
+        program().arg("load").args(arguments).output().expect("the program runs");
+    let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
+    (status.code(), text(stdout), text(stderr))
+}
+
+/// A folder of a test's own, which goes with this.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("marlwinch-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+    fn file(&self, name: &str) -> String {
+        self.0.join(name).to_string_lossy().into_owned()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A world that serves on a thread of its own for as long as the test runs.
+fn target(script: &str) -> String {
+    let script = Script::read(script).expect("a script");
+    let (tell, told) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let world = World::start(&script).await.expect("a world");
+            tell.send(world.boxes[0].address).expect("told");
+            std::future::pending::<()>().await;
+        });
+    });
+    told.recv_timeout(LONG).expect("a target").to_string()
+}
+
+#[test]
+fn the_demonstration_keeps_the_four_rules_and_leaves_nothing() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let folder = Folder::new("demo");
+    let ended = program()
+        .args(["demo", "--seconds", "4"])
+        .env("TMPDIR", &folder.0)
+        .output()
+        .expect("the program runs");
+    let said = String::from_utf8_lossy(&ended.stdout);
+    assert_eq!(said.matches("  kept    ").count(), 4, "{said}\n{}", String::from_utf8_lossy(&ended.stderr));
+    // A machine that is busy with other things may make the run say nothing; the rules hold all the same.
+    let valid = !said.contains("NOT VALID");
+    assert_eq!(ended.status.code(), Some(if valid { 0 } else { 6 }), "{said}");
+    assert_eq!(std::fs::read_dir(&folder.0).expect("a folder").count(), 0, "it leaves files");
+}
+
+#[test]
+fn ctrl_c_ends_the_demonstration_at_once() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let folder = Folder::new("interrupted");
+    let mut child = program()
+        .args(["demo", "--seconds", "600"])
+        .env("TMPDIR", &folder.0)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+    while !lines.next().expect("it goes on").expect("a line").contains("held by each box") {}
+    let kill = Command::new("sh").args(["-c", &format!("kill -INT {}", child.id())]).status();
+    assert!(kill.expect("a shell").success());
+    let begun = Instant::now();
+    while child.try_wait().expect("its state").is_none() {
+        assert!(begun.elapsed() < Duration::from_secs(10), "it does not end");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(std::fs::read_dir(&folder.0).expect("a folder").count(), 0, "it leaves files");
+}
+
+#[test]
+fn load_reports_and_compares() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let (target, folder) = (target("[[box]]\nname = \"a\"\ncores = 64\n"), Folder::new("load"));
+    let (json, page) = (folder.file("a.json"), folder.file("a.html"));
+    let asked =
+        [&target, "--rate", "100", "--for", "500ms", "--repeat", "3", "--json", &json, "--html", &page];
+    let (code, said, errors) = load(&asked);
+    assert!(matches!(code, Some(0 | 5)), "{errors}");
+    assert_eq!(said.matches("behind schedule").count(), 3, "{said}");
+    let report = load::report::Report::read(&std::fs::read(&json).expect("a report")).expect("a report");
+    assert_eq!((report.runs.len(), report.is_valid()), (3, code == Some(0)));
+    // Open loop: what was due has gone, and the box has said who it is.
+    for run in &report.runs {
+        assert_eq!(run.all.outcomes, [run.due, 0, 0, 0, 0]);
+        assert_eq!(run.boxes.iter().map(|part| part.name.as_str()).collect::<Vec<_>>(), ["a"]);
+    }
+    let page = std::fs::read_to_string(&page).expect("a page");
+    assert!(
+        page.contains("<svg") && !page.contains("http://") && !page.contains("https://"),
+        "it needs nothing"
+    );
+    let (_, said, _) = load(&["diff", &json, &json]);
+    assert!(said.contains("p99 ms") && said.contains("(may be chance)"), "{said}");
+}
+
+#[test]
+fn what_can_t_be_kept_up_with_is_not_valid_and_what_makes_no_sense_is_refused() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let slow = target("[[box]]\nname = \"a\"\nservice = { fixed = \"300ms\" }\nqueue = 1000\n");
+    let (code, said, _) = load(&[&slow, "--rate", "50", "--for", "1s", "--connections", "1"]);
+    assert_eq!(code, Some(5), "{said}");
+    assert!(said.contains("NOT VALID: out of connections"), "{said}");
+    for (asked, why) in [
+        (&["10.0.0.1:80", "--rate", "1", "--for", "1s"][..], "loopback"),
+        (&["127.0.0.1", "--rate", "1", "--for", "1s"], "port"),
+        (&["127.0.0.1:1", "--rate", "nan", "--for", "1s"], "rate"),
+        (&["127.0.0.1:1", "--rate", "1"], "--for"),
+        (&["/nowhere/plan.toml", "127.0.0.1:1"], "/nowhere/plan.toml"),
+        (&["diff", "/nowhere/a.json", "/nowhere/b.json"], "/nowhere/a.json"),
+        (&[], "required"),
+    ] {
+        let (code, _, said) = load(asked);
+        assert_eq!((code, said.contains(why)), (Some(2), true), "{asked:?}: {said}");
+    }
+}
--- a/crates/marlwinch/tests/file_node.rs
+++ b/crates/marlwinch/tests/file_node.rs
@@ -746,3 +746,36 @@
     post(&mut client, "/tally-correct/7f3a", "X-Correlation-Id: 3\r\n");
     assert_eq!(client.read().body, b"3");
 }
+
+/// What the node takes is written down and can be replayed; a file without a trace ends it.
+#[test]
+fn what_is_taken_is_recorded_as_a_trace() {
+    let ledger = Arc::new(Ledger::default());
+    let one = Counting::start(0, ledger.clone(), |_| Fault::None);
+    let trace = OnDisk::new("");
+    let text = simple(&[one.address], UNSAFE) + "[[tenant]]\nname = \"pati\"\n";
+    let traced = format!("{text}[trace]\nfile = \"{}\"\n", trace.path());
+    let mut node = Node::from_file(&traced);
+    let mut client = node.client();
+    for number in 0..20 {
+        post(&mut client, &format!("/sheet/{number}?a=b"), "X-Account: pati\r\nIdempotency-Key: k\r\n");
+        assert_eq!(client.read().status(), 200);
+    }
+    node.reload(&text);
+    node.logged("the trace is over, 0 lines were dropped");
+    post(&mut client, "/after", "X-Account: pati\r\n");
+    assert_eq!(client.read().status(), 200);
+    node.terminate();
+    assert!(node.wait().success());
+    let trace = load::trace::read(&std::fs::read(&trace.0).expect("a trace"), 1.0);
+    assert_eq!((trace.lines.len(), trace.bad, trace.out_of_order), (20, 0, 0));
+    for (number, (_, line)) in trace.lines.iter().enumerate() {
+        assert_eq!((line.method.as_str(), line.target.clone()), ("POST", format!("/sheet/{number}?a=b")));
+        assert_eq!(
+            (line.class.as_str(), line.tenant.as_deref(), line.key, line.body),
+            ("c", Some("pati"), true, 1)
+        );
+    }
+    let from = load::plan::Plan::steady(1.0, std::time::Duration::from_secs(1), "GET", "/").expect("a plan");
+    assert_eq!(load::plan::Plan::of_trace(trace, &from).expect("a plan").jobs().count(), 20);
+}
