--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -1,6 +1,7 @@
 //! Every decision of larchspread. Types, events and actions: `interface.rs`; what a node remembers:
 //! `state.rs`. From top to bottom: who may be sent to, the pick, sending, what follows an outcome,
-//! refusing and failing, housekeeping. Each departure from the paper, and when it acts: `docs/design/node.md`.
+//! refusing and failing, housekeeping. Each departure from the paper, and when it acts:
+//! `docs/design/node.md`.
 
 use crate::interface::*;
 use crate::state::{Attempt, Classes, Fleet, Levels, Rate, Request, Server, Tokens, Usual};
@@ -89,8 +90,8 @@
         }
     }
 
-    /// Other settings from now on. Requests in hand keep the class that they were taken under, whatever becomes of it;
-    /// what has been learnt of servers stays.
+    /// Other settings from now on. Requests in hand keep the class that they were taken under, whatever
+    /// becomes of it; what has been learnt of servers stays.
     pub fn reconfigure(&mut self, settings: Settings) {
         self.settings = settings.sane();
         self.classes.replace(&self.settings.classes);
@@ -147,7 +148,8 @@
         }
     }
 
-    /// What a further attempt at that time needs, whichever server it goes to. A class's own terms come on top of rule 2.
+    /// What a further attempt at that time needs, whichever server it goes to. A class's own terms come on
+    /// top of rule 2.
     fn may_follow(&self, request: &Request, at: Duration) -> bool {
         let (class, ran) = (&self.classes[request.class], request.attempts.iter().find(|a| a.may_have_run()));
         let repeatable = ran.is_none_or(|first| match class.repeat {
@@ -166,7 +168,8 @@
         request.attempts.len() < most as usize
     }
 
-    /// Whether the budget allows one attempt more. Copies have one of their own where their class says how many.
+    /// Whether the budget allows one attempt more. Copies have one of their own where their class says how
+    /// many.
     fn has_budget(&self, request: &Request) -> bool {
         let class = request.class;
         match self.classes[class].terms.copies {
@@ -423,8 +426,8 @@
         }
     }
 
-    /// What follows an attempt that brought no answer: another at once or after the back-off. Where none could be made
-    /// then, the request ends now.
+    /// What follows an attempt that brought no answer: another at once or after the back-off. Where none
+    /// could be made then, the request ends now.
     fn go_on(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let terms = self.classes[request.class].terms;
