Run the file node's tests on the stand-in boxes; answer HEAD with the box's length

Change: tests/boxes starts stand-ins for tests that block, tests/counting is gone; the length of a HEAD's answer is passed on; a trace that no machine replays is a test.

--- a/crates/load/tests/runs.rs
+++ b/crates/load/tests/runs.rs
@@ -285,3 +285,29 @@
     assert!(finished.record.all.latency.value_at_quantile(0.99) > 150_000);
     assert_eq!(finished.due, 100);
 }
+
+/// A trace that no machine replays: 30,000 requests within 10 ms. The report says so, and which rate it did reach.
+#[test]
+fn a_trace_faster_than_the_machine_is_not_valid() {
+    let line = |i: u32| {
+        format!("{{\"t\":{:.9},\"method\":\"GET\",\"target\":\"/\",\"class\":\"c\"}}\n", f64::from(i) / 3e6)
+    };
+    let text: String = (0..30_000).map(line).collect();
+    let from = Plan::steady(1.0, Duration::from_secs(1), "GET", "/").expect("a plan");
+    let plan = Arc::new(Plan::of_trace(trace::read(text.as_bytes(), 1.0), &from).expect("a plan"));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    struct Here(tokio::runtime::Handle);
+    impl Connect for Here {
+        fn connect(&self) -> Connecting {
+            let (ours, theirs) = duplex(64 << 10);
+            self.0.spawn(serve(theirs, Instant::now(), Arc::new(|at| (at, OK))));
+            Box::pin(async move { Ok(Box::new(ours) as Box<dyn Io>) })
+        }
+    }
+    let connect: Arc<dyn Connect> = Arc::new(Here(runtime.handle().clone()));
+    std::thread::spawn(move || runtime.block_on(std::future::pending::<()>()));
+    let finished = load::engine::run(&plan, &connect, &Arc::default(), false).expect("a run");
+    let verdict = &finished.verdict;
+    assert!(!verdict.is_valid() && verdict.reached < verdict.asked / 2.0, "{verdict:?}");
+    assert_eq!((finished.due, finished.record.all.count()), (30_000, 30_000), "each has come to something");
+}
--- a/crates/marlwinch/src/clients.rs
+++ b/crates/marlwinch/src/clients.rs
@@ -368,6 +368,7 @@
     for (name, value) in taken.headers {
         headers.insert(name, value);
     }
+    let head_only = head.method == Method::HEAD;
     let (method, target, patience) = (head.method, taken.target, taken.patience);
     let payload = Rc::new(Payload { method, target, headers, body, patience });
     let (sender, receiver) = oneshot::channel();
@@ -378,7 +379,7 @@
     present.owed = false;
     drop(place);
     match (arrived, answer) {
-        (Ok(()), Ok(answer)) => Ok(final_answer(answer, front.whole_seconds())),
+        (Ok(()), Ok(answer)) => Ok(final_answer(answer, front.whole_seconds(), head_only)),
         // The node's task has ended, and the process ends with it.
         _ => Err(Bad::new(StatusCode::INTERNAL_SERVER_ERROR, "the node has failed")),
     }
@@ -460,12 +461,15 @@
     }
 }
 
-fn final_answer(answer: Answer, whole_seconds: bool) -> Response<Full<Bytes>> {
+fn final_answer(answer: Answer, whole_seconds: bool, head_only: bool) -> Response<Full<Bytes>> {
     match answer {
-        Answer::Served(Reply { status, headers, body }) => {
+        Answer::Served(Reply { status, mut headers, body }) => {
+            // The length of a body that is not there, as the backend has it; hyper would say 0.
+            let length = headers.remove(header::CONTENT_LENGTH).filter(|_| head_only);
             let mut response = Response::new(Full::new(body));
             *response.status_mut() = status;
             *response.headers_mut() = end_to_end(headers);
+            response.headers_mut().extend(length.map(|length| (header::CONTENT_LENGTH, length)));
             response
         }
         Answer::Refused { retry_after } => {
--- a/crates/marlwinch/tests/demo.rs
+++ b/crates/marlwinch/tests/demo.rs
@@ -1,15 +1,14 @@
 //! The demonstration and the load generator as commands. Alone in their process, for the sake of their times.
 
-use standins::script::Script;
-use standins::world::World;
+mod boxes;
+
+use boxes::Boxes;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-const LONG: Duration = Duration::from_secs(60);
-
 /// One at a time: each wants the machine for itself.
 static ALONE: Mutex<()> = Mutex::new(());
 
@@ -46,19 +45,9 @@
     }
 }
 
-/// A world that serves on a thread of its own for as long as the test runs.
+/// A box that serves for as long as the test runs.
 fn target(script: &str) -> String {
-    let script = Script::read(script).expect("a script");
-    let (tell, told) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(async {
-            let world = World::start(&script).await.expect("a world");
-            tell.send(world.boxes[0].address).expect("told");
-            std::future::pending::<()>().await;
-        });
-    });
-    told.recv_timeout(LONG).expect("a target").to_string()
+    Boxes::start(script).addresses[0].to_string()
 }
 
 #[test]
--- a/crates/marlwinch/tests/file_node.rs
+++ b/crates/marlwinch/tests/file_node.rs
@@ -1,11 +1,12 @@
 //! A node from an operator's file, as a process on loopback sockets: what it takes, what reaches a box and how often,
 //! limits, and files that change under traffic.
 
-mod counting;
+mod boxes;
 mod peers;
 
-use counting::{Counting, Fault, Ledger, mix};
+use boxes::{Boxes, fault_of_each, number};
 use peers::{LONG, Listener, Message, Node, OnDisk, Peer, command};
+use standins::ledger::Execution;
 use std::collections::HashMap;
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
@@ -153,7 +154,8 @@
         client.stream.read_exact(&mut byte).expect("a head");
         head.push(byte[0]);
     }
-    assert!(String::from_utf8_lossy(&head).starts_with("HTTP/1.1 200 OK\r\n"));
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    assert!(head.starts_with("http/1.1 200 ok\r\n") && head.contains("content-length: 70\r\n"), "{head}");
     for (status, body) in [
         ("204 No Content", None),
         ("304 Not Modified", None),
@@ -204,9 +206,9 @@
 /// The whole time, the time of an attempt and the client's own, each with boxes that never answer.
 #[test]
 fn times_of_a_class_are_held() {
-    let ledger = Arc::new(Ledger::default());
-    let boxes: Vec<_> = (0..3).map(|i| Counting::start(i, ledger.clone(), |_| Fault::Stall)).collect();
-    let addresses: Vec<_> = boxes.iter().map(|b| (b.address, "east")).collect();
+    let boxes = Boxes::with_faults(3, &fault_of_each(3, "stall", "time = \"1h\""));
+    let ledger = &boxes.ledger;
+    let addresses: Vec<_> = boxes.addresses.iter().map(|address| (*address, "east")).collect();
     let tried = "repeat = \"safe\"\ntime = \"900ms\"\nattempts = 3\nattempt-time = \"200ms\"\nretry-on = [\"timed-out\"]\nbudget = { share = 1, floor = \"9/s\" }";
     let more = class("short", "repeat = \"unsafe\"\ntime = \"300ms\"")
         + &class("tried", tried)
@@ -236,32 +238,20 @@
 fn two_thousand_unsafe_requests_and_none_runs_twice() {
     const CLIENTS: u64 = 8;
     const EACH: u64 = 250;
-    let ledger = Arc::new(Ledger::default());
     let faults = [
-        Fault::Error,
-        Fault::Unprocessed,
-        Fault::ResetBefore,
-        Fault::ResetAfter,
-        Fault::Garbage,
-        Fault::Unprocessed,
+        ("reset-before", "every = 11"),
+        ("reset-at", "every = 13\nbytes = 0"),
+        ("garbage", "every = 17"),
+        ("error", "every = 19"),
+        ("away", "every = 5"),
     ];
-    let boxes: Vec<_> = (0..4)
-        .map(|who| {
-            Counting::start(who, ledger.clone(), move |number| {
-                let chance = mix(number ^ (who as u64) << 32);
-                if chance.is_multiple_of(3) {
-                    faults[(chance >> 8) as usize % faults.len()]
-                } else {
-                    Fault::None
-                }
-            })
-        })
-        .collect();
+    let faults: String = faults.iter().map(|(what, more)| fault_of_each(4, what, more)).collect();
+    let boxes = Boxes::with_faults(4, &faults);
     // One more that refuses every connection.
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
     let nobody = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
-    let mut addresses: Vec<_> = boxes.iter().map(|b| b.address).collect();
+    let mut addresses = boxes.addresses.clone();
     addresses.push(nobody);
     let terms = format!(
         "{UNSAFE}\nattempts = 4\nback-off = {{ first = \"1ms\" }}\nbudget = {{ share = 1, floor = \"100/s\" }}"
@@ -291,7 +281,7 @@
     assert_eq!(statuses.len() as u64, CLIENTS * EACH, "one answer each");
     let mut seen: HashMap<u16, usize> = HashMap::new();
     for (id, status) in &statuses {
-        let runs = ledger.runs(id).len();
+        let runs = boxes.ledger.runs(id).len();
         assert!(runs <= 1, "{id} ran {runs} times");
         match status {
             200 => assert_eq!(runs, 1, "{id} is served and has run"),
@@ -309,17 +299,11 @@
 /// Keyed: repeats only in the zone of the first that may have run, within the window.
 #[test]
 fn keyed_requests_repeat_within_their_zone_and_window() {
-    let ledger = Arc::new(Ledger::default());
-    let boxes: Vec<_> = (0..6)
-        .map(|who| {
-            Counting::start(who, ledger.clone(), move |number| {
-                let chance = mix(number ^ (who as u64) << 40);
-                [Fault::ResetAfter, Fault::Error, Fault::None, Fault::None][chance as usize % 4]
-            })
-        })
-        .collect();
+    let faults =
+        fault_of_each(6, "error", "every = 3") + &fault_of_each(6, "reset-at", "every = 4\nbytes = 0");
+    let boxes = Boxes::with_faults(6, &faults);
     let zones = ["east", "west"];
-    let addresses: Vec<_> = boxes.iter().enumerate().map(|(i, b)| (b.address, zones[i % 2])).collect();
+    let addresses: Vec<_> = boxes.addresses.iter().enumerate().map(|(i, a)| (*a, zones[i % 2])).collect();
     // The window is long beside what a slow machine may add; the order of things is what is tested.
     let keyed = "repeat = \"keyed\"\nscope = \"zone\"\nwindow = \"10s\"\nkey-header = \"idempotency-key\"\n\
         time = \"9s\"\nretry-on = [\"error\", \"reset\"]\nattempts = 3\nattempt-time = \"2s\"\n\
@@ -327,21 +311,18 @@
     let node = Node::from_file(&file(&addresses, &(class("k", keyed) + &route("prefix = \"/\"", "k", ""))));
     let mut client = node.client();
     let (mut served, mut repeated) = (0, 0);
-    for number in 0..400 {
-        post(
-            &mut client,
-            "/submit",
-            &format!("X-Correlation-Id: {number}\r\nIdempotency-Key: k{number}\r\n"),
-        );
+    for id in 0..400 {
+        post(&mut client, "/submit", &format!("X-Correlation-Id: {id}\r\nIdempotency-Key: k{id}\r\n"));
         served += usize::from(client.read().status() == 200);
-        let runs = ledger.runs(&number.to_string());
+        let runs = boxes.ledger.runs(&id.to_string());
         repeated += usize::from(runs.len() > 1);
         assert!(!runs.is_empty() && runs.len() <= 3);
-        assert!(runs.iter().all(|run| run.who % 2 == runs[0].who % 2), "left its zone: {runs:?}");
-        assert!(runs.iter().all(|run| run.at < runs[0].at + std::time::Duration::from_secs(10)));
-        assert!(runs.iter().all(|run| run.key.as_deref() == Some(&format!("k{number}"))));
-        let boxes: std::collections::HashSet<_> = runs.iter().map(|run| run.who).collect();
-        assert_eq!(boxes.len(), runs.len(), "twice to one box: {runs:?}");
+        let zone = |run: &Execution| number(&run.by) % 2;
+        assert!(runs.iter().all(|run| zone(run) == zone(&runs[0])), "left its zone: {runs:?}");
+        assert!(runs.iter().all(|run| run.came < runs[0].came + std::time::Duration::from_secs(10)));
+        assert!(runs.iter().all(|run| run.key.as_deref() == Some(&format!("k{id}"))));
+        let met: std::collections::HashSet<_> = runs.iter().map(|run| &run.by).collect();
+        assert_eq!(met.len(), runs.len(), "twice to one box: {runs:?}");
     }
     assert!(served > 200 && repeated > 50, "{served} served, {repeated} repeated");
 }
@@ -500,14 +481,13 @@
 /// file: its cluster, its class and its path belong together.
 #[test]
 fn two_hundred_reloads_under_traffic_lose_and_mix_nothing() {
-    let ledger = Arc::new(Ledger::default());
-    let boxes: Vec<_> = (0..4).map(|who| Counting::start(who, ledger.clone(), |_| Fault::None)).collect();
+    let boxes = Boxes::with_faults(4, "");
     // Boxes 0 and 1 are cluster `a` and know `/a/…`, boxes 2 and 3 are `b` and know `/b/…`.
-    let of = |name: &str, boxes: &[Counting]| {
-        let boxes: Vec<_> = boxes.iter().map(|b| (b.address, "east")).collect();
+    let of = |name: &str, boxes: &[SocketAddr]| {
+        let boxes: Vec<_> = boxes.iter().map(|address| (*address, "east")).collect();
         cluster(name, &boxes)
     };
-    let with = |name: &str, boxes: &[Counting], class: &str| {
+    let with = |name: &str, boxes: &[SocketAddr], class: &str| {
         format!(
             "[[listener]]\naddress = \"127.0.0.1:0\"\n{}[[class]]\nname = \"{class}\"\n{UNSAFE}\n",
             of(name, boxes)
@@ -515,7 +495,7 @@
             "[[route]]\ntemplate = \"/sheet/{{id}}\"\nrewrite = \"/{name}/{{id}}\"\nclass = \"{class}\"\ncluster = \"{name}\"\n"
         )
     };
-    let files = [with("a", &boxes[..2], "one"), with("b", &boxes[2..], "two")];
+    let files = [with("a", &boxes.addresses[..2], "one"), with("b", &boxes.addresses[2..], "two")];
     let bad = format!("{}retry-on = [\"error\"]\n", files[0]);
     let node = Node::from_file(&files[0]);
     node.logged("taken: 1 routes");
@@ -556,13 +536,13 @@
     }
     over.store(true, Ordering::Relaxed);
     let sent: u64 = clients.into_iter().map(|client| client.join().expect("a client")).sum();
-    let all = ledger.all();
+    let all = boxes.ledger.all();
     assert_eq!(all.len() as u64, sent, "each has run");
     let mut by_cluster = [0, 0];
     for (id, runs) in &all {
         assert_eq!(runs.len(), 1, "{id}: {runs:?}");
-        let cluster = runs[0].who / 2;
-        assert_eq!(runs[0].target, format!("/{}/{id}", ["a", "b"][cluster]), "a mixed configuration");
+        let cluster = number(&runs[0].by) / 2;
+        assert_eq!(runs[0].path, format!("/{}/{id}", ["a", "b"][cluster]), "a mixed configuration");
         by_cluster[cluster] += 1;
     }
     assert!(by_cluster.iter().all(|n| *n > 100), "{by_cluster:?}");
@@ -733,10 +713,9 @@
 fn the_example_serves_each_of_its_classes() {
     let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.toml");
     let mut text = std::fs::read_to_string(example).expect("the example");
-    let ledger = Arc::new(Ledger::default());
-    let boxes: Vec<_> = (0..3).map(|who| Counting::start(who, ledger.clone(), |_| Fault::None)).collect();
-    for (i, b) in boxes.iter().enumerate() {
-        text = text.replace(&format!("127.0.0.1:900{}", i + 1), &b.address.to_string());
+    let boxes = Boxes::with_faults(3, "");
+    for (i, address) in boxes.addresses.iter().enumerate() {
+        text = text.replace(&format!("127.0.0.1:900{}", i + 1), &address.to_string());
     }
     let node = Node::from_file(&text.replace("127.0.0.1:8080", "127.0.0.1:0"));
     let mut client = node.client();
@@ -750,10 +729,9 @@
 /// What the node takes is written down and can be replayed; a file without a trace ends it.
 #[test]
 fn what_is_taken_is_recorded_as_a_trace() {
-    let ledger = Arc::new(Ledger::default());
-    let one = Counting::start(0, ledger.clone(), |_| Fault::None);
+    let boxes = Boxes::with_faults(1, "");
     let trace = OnDisk::new("");
-    let text = simple(&[one.address], UNSAFE) + "[[tenant]]\nname = \"pati\"\n";
+    let text = simple(&boxes.addresses, UNSAFE) + "[[tenant]]\nname = \"pati\"\n";
     let traced = format!("{text}[trace]\nfile = \"{}\"\n", trace.path());
     let mut node = Node::from_file(&traced);
     let mut client = node.client();
