Resolve a class's terms once, and let one place know the wait of a refused client

Need: read once more, the plan resolved each class's terms again for every route, with a list of levels that check.rs has already, and the built-in Retry-After stood in plan.rs and, as a text, in explain.rs; one comment said nothing of its value. Change: plan.rs calls check::class_levels once for each class; built_in::RETRY_AFTER is the one home. No behaviour changes. Measured: cargo test -p operator -p marlwinch (lib, corpus, routes, rules, file_node): 55 tests pass as they were.

--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -39,7 +39,7 @@
 }
 
 /// The levels of a class's terms.
-fn class_levels<'f>(file: &'f File, class: &'f Class) -> Vec<(Level, &'f Terms)> {
+pub fn class_levels<'f>(file: &'f File, class: &'f Class) -> Vec<(Level, &'f Terms)> {
     vec![(Level::Defaults, &file.defaults), (Level::Class, &class.terms)]
 }
 
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -161,7 +161,7 @@
         row("tenant-rate", &r.tenant_rate, |t| {
             t.map_or("no limit".into(), |t| format!("{} a second, {} at once", t.per_s, t.burst))
         }),
-        row("retry-after", &r.retry_after, or("1s")),
+        row("retry-after", &r.retry_after, |t| show(*t)),
     ]
 }
 
--- a/crates/operator/src/plan.rs
+++ b/crates/operator/src/plan.rs
@@ -2,9 +2,9 @@
 //! Decides nothing more: what does not fit together has been refused before.
 
 use crate::admission::Limit;
-use crate::check::{Checked, used_captures};
+use crate::check::{Checked, class_levels, used_captures};
 use crate::model::{Cluster, File, PathRule, Reports, Route};
-use crate::resolve::Resolved;
+use crate::resolve::{Levels, Resolved, built_in};
 use crate::route::{Condition, Table};
 use http::HeaderName;
 use larchspread::{
@@ -19,11 +19,9 @@
 const SOCKETS: usize = 1024;
 /// Memory of a node whose file does not say: that of the platform's.
 const MEMORY: u64 = 192 << 20;
-/// What a refused client is told to wait where the file does not say.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// How long a box keeps an idle connection where the file does not say; the node lets go at half of it.
 const IDLE_CLOSE: Duration = Duration::from_secs(15);
-/// How soon a tenant is known in a header.
+/// Which header names the tenant where the file does not say.
 const TENANT_HEADER: HeaderName = HeaderName::from_static("x-account");
 
 /// A file that has passed, compiled.
@@ -149,6 +147,8 @@
     let nodes = file.node.nodes.as_ref().map_or(1, |n| n.value);
     let mut limits: Vec<Limit> = Vec::new();
     let mut classes: Vec<Vec<Class>> = file.clusters.iter().map(|_| Vec::new()).collect();
+    let class_terms: Vec<_> =
+        file.classes.iter().map(|class| Levels(class_levels(file, class)).resolve()).collect();
     // There may be as many names as routes.
     let (mut class_numbers, mut limit_numbers) = (HashMap::new(), HashMap::new());
     let mut conditions: Vec<Condition> = Vec::with_capacity(routes.len());
@@ -157,7 +157,7 @@
         let route = &file.routes[checked.number];
         let class = &file.classes[checked.class];
         // A route without terms of its own shares its class's budgets and limits; one with some has its own.
-        let own = checked.terms != class_terms(file, checked.class);
+        let own = checked.terms != class_terms[checked.class];
         let its_name = route_name(route);
         let name = if own { format!("{} at {its_name}", class.name.value) } else { class.name.value.clone() };
         let of_cluster = &mut classes[checked.cluster];
@@ -252,12 +252,6 @@
     name
 }
 
-fn class_terms(file: &File, class: usize) -> Resolved {
-    use crate::resolve::{Level, Levels};
-    let class = &file.classes[class];
-    Levels(vec![(Level::Defaults, &file.defaults), (Level::Class, &class.terms)]).resolve()
-}
-
 /// What the decision module is told of a class.
 fn decided(repeat: larchspread::Repeat, r: &Resolved) -> Class {
     Class {
@@ -278,7 +272,7 @@
                 None => Copies::Never,
             },
             budget: Some(r.budget.value),
-            retry_after: Some(r.retry_after.value.unwrap_or(RETRY_AFTER)),
+            retry_after: Some(r.retry_after.value),
         },
     }
 }
@@ -294,7 +288,7 @@
         in_hand: r.in_hand.value,
         queue: r.queue.value,
         tenant_rate: r.tenant_rate.value.map(part),
-        retry_after: r.retry_after.value.unwrap_or(RETRY_AFTER),
+        retry_after: r.retry_after.value,
     }
 }
 
@@ -365,7 +359,7 @@
                 cancel: true,
                 probes: false,
                 parallel_attempts: true,
-                max_retry_after: Some(RETRY_AFTER),
+                max_retry_after: Some(built_in::RETRY_AFTER),
                 connect_timeout: defaults.limits.connect_timeout,
             },
             rules,
--- a/crates/operator/src/resolve.rs
+++ b/crates/operator/src/resolve.rs
@@ -59,7 +59,7 @@
     pub in_hand: Sourced<Option<u32>>,
     pub queue: Sourced<Option<Queue>>,
     pub tenant_rate: Sourced<Option<TenantRate>>,
-    pub retry_after: Sourced<Option<Duration>>,
+    pub retry_after: Sourced<Duration>,
 }
 
 /// What a request has where the file says nothing. Attempts beyond the first follow only what certainly never ran, so
@@ -73,6 +73,8 @@
     pub const ATTEMPTS: u32 = 3;
     /// A connect, or half of the attempt's time where that is less.
     pub const CONNECT: Duration = Duration::from_millis(250);
+    /// What a refused client is told to wait.
+    pub const RETRY_AFTER: Duration = Duration::from_secs(1);
     /// After which outcomes another attempt follows.
     pub const RETRY_ON: RetryOn = RetryOn { never_ran: true, error: false, reset: false, timed_out: false };
     /// Further attempts: the usual fifth of requests, and one a second where there is little traffic.
@@ -120,7 +122,7 @@
             in_hand: self.or(|t| &t.in_hand, None),
             queue: self.or(|t| &t.queue, None),
             tenant_rate: self.or(|t| &t.tenant_rate, None),
-            retry_after: self.maybe(|t| &t.retry_after),
+            retry_after: self.or(|t| &t.retry_after, built_in::RETRY_AFTER),
             time,
             attempt_time,
         }
