--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -55,6 +55,8 @@
     version: u32,
     ask_at: Option<Duration>,
     ask_wait: Duration,
+    /// What is done without for now.
+    restraint: Restraint,
 }
 
 impl Balancer {
@@ -85,6 +87,7 @@
             version: 0,
             ask_at: None,
             ask_wait: Duration::ZERO,
+            restraint: Restraint::default(),
             classes: Classes::new(&settings.classes),
             settings,
         }
@@ -117,6 +120,11 @@
             Event::ClientGone { id } => self.close(id, actions),
             Event::Timer { token } => self.on_timer(RequestId(token), actions),
             Event::Probed(end) => self.on_probed(end, actions),
+            Event::Room { server, most, share } => {
+                let share = if share.is_finite() { share.clamp(1e-6, 1e6) } else { 1.0 };
+                self.fleet.modify(server, |s| s.room = Some((most.max(1), share)));
+            }
+            Event::Restrain(restraint) => self.restraint = restraint,
             Event::Peer { .. } => {}
         }
     }
@@ -171,7 +179,11 @@
     /// Whether the budget allows one attempt more. Copies have one of their own where their class says how
     /// many.
     fn has_budget(&self, request: &Request) -> bool {
-        let class = request.class;
+        let (class, hold) = (request.class, self.restraint);
+        let ran = || request.attempts.iter().any(Attempt::may_have_run);
+        if hold.no_further || hold.no_copies && request.wants_copy() || hold.no_repeats && ran() {
+            return false;
+        }
         match self.classes[class].terms.copies {
             Copies::After { .. } if request.wants_copy() => self.classes.copies_left(class) >= 1.0,
             _ => self.classes.retries_left(class, self.now).unwrap_or(self.retry_tokens) >= 1.0,
@@ -234,7 +246,7 @@
 
     /// How crowded a server is: what it reported lately, and at least own attempts that are out.
     fn crowd(&self, server: &Server) -> f64 {
-        let out = f64::from(server.out);
+        let out = f64::from(server.out) / server.share();
         self.fresh_load(server).map_or(out, |load| load.max(out))
     }
 
@@ -259,14 +271,16 @@
     fn below_cap(&mut self, among: &[ServerId]) -> Option<ServerId> {
         let cap = self.cap();
         let estimate = |id: &ServerId| self.estimate(&self.fleet[id], cap);
-        let lowest = among.iter().map(estimate).min().filter(|lowest| *lowest < cap)?;
+        let lowest = among.iter().map(estimate).min_by(f64::total_cmp).filter(|l| *l < f64::from(cap))?;
         let ties: Vec<_> = among.iter().copied().filter(|id| estimate(id) == lowest).collect();
-        self.fleet.any_of(&ties)
+        self.fleet.any_by_share(&ties)
     }
 
-    /// Own sends since the last idle sign, which lapses where other nodes send as well and probes are cheap.
-    fn estimate(&self, server: &Server, cap: u32) -> u32 {
-        if self.lapses() && !server.idle_at.is_some_and(|at| self.fresh(at)) { cap } else { server.count }
+    /// Own sends since the last idle sign, which lapses where other nodes send as well and probes are cheap; for
+    /// servers that are not alike, by what each can do beside the mean.
+    fn estimate(&self, server: &Server, cap: u32) -> f64 {
+        let lapsed = self.lapses() && !server.idle_at.is_some_and(|at| self.fresh(at));
+        f64::from(if lapsed { cap } else { server.count }) / server.share()
     }
 
     /// The cap m of Theorem 6 of the paper, from own sends for each idle sign (its lambda / delta) and the
@@ -283,7 +297,14 @@
     fn uncrowded(&self, mut among: Vec<ServerId>) -> Vec<ServerId> {
         let crowd = |id: &ServerId| self.crowd(&self.fleet[id]);
         let level = |id: &ServerId| crowd(id).round() as usize;
-        among.retain(|id| level(id) == 0 || self.in_time.share(level(id)) >= 0.5);
+        match self.settings.crowding {
+            Crowding::Learnt => among.retain(|id| level(id) == 0 || self.in_time.share(level(id)) >= 0.5),
+            // Whoever tells of rooms has let it in: it goes where there is room, and without any to the least.
+            Crowding::Told if among.iter().any(|id| self.fleet[id].has_room()) => {
+                among.retain(|id| self.fleet[id].has_room())
+            }
+            Crowding::Told => {}
+        }
         let average = among.iter().map(crowd).sum::<f64>() / among.len() as f64 + 1e-9;
         among.retain(|id| crowd(id) <= average);
         among
@@ -320,7 +341,7 @@
             if may_ask && self.probe(id, actions) {
                 return;
             }
-            choice = self.fleet.any_of(&fitting); // All have reached m.
+            choice = self.fleet.any_by_share(&fitting); // All have reached m.
         }
         match choice {
             Some(server) => self.send(id, server, actions),
@@ -346,6 +367,11 @@
         if !heard.is_empty() {
             return heard;
         }
+        let told = self.settings.crowding == Crowding::Told;
+        let roomy = |id: &ServerId| self.fleet[id].has_room();
+        let full =
+            told && !self.fleet.ready[..most].iter().any(|id| permitted(id) && healthy(id) && roomy(id));
+        let most = if full { self.fleet.ready.len() } else { most };
         let mut looked_at = self.fleet.ready[..most].to_vec();
         looked_at.retain(permitted);
         let (healthy, ejected): (Vec<_>, _) = looked_at.into_iter().partition(healthy);
@@ -597,7 +623,7 @@
                 Copies::Judged => first.is_some_and(lost) || self.busy < 0.5,
                 _ => request.is_out() && self.classes.copies_left(request.class) >= 1.0,
             };
-            (request.copy_at, request.copying) = (None, copy);
+            (request.copy_at, request.copying) = (None, copy && !self.restraint.no_copies);
             request.rounds = if self.settings.probes_tell() { 0 } else { ROUNDS };
         }
         self.dispatch(id, actions);
@@ -667,7 +693,7 @@
             if server.entry.id != entry.id || server.entry.started != entry.started {
                 // Cold servers start with a random part of a request, lest all nodes send one at once.
                 let credit = Tokens::new(self.fleet.random(), self.now);
-                server = Server { out: server.out, credit, ..Server::default() };
+                server = Server { out: server.out, room: server.room, credit, ..Server::default() };
             }
             self.fleet.insert(Server { entry, ..server });
         }
--- a/crates/larchspread/src/interface.rs
+++ b/crates/larchspread/src/interface.rs
@@ -54,6 +54,18 @@
     pub list_on_request: bool,
     /// The least time between two rounds of events, and so the precision of timers.
     pub tick: Duration,
+    /// From where it is known how much a server may hold.
+    pub crowding: Crowding,
+}
+
+/// From where it is known how much a server may hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Crowding {
+    /// The module learns at which crowding answers come in time; who would not be answered in time is refused.
+    #[default]
+    Learnt,
+    /// It is told, by [`Event::Room`], and whoever tells it holds back what there is no room for.
+    Told,
 }
 
 /// A class of requests.
@@ -436,6 +448,17 @@
     pub report: Option<LoadReport>,
 }
 
+/// What the module does without, because there is more to do than servers can.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Restraint {
+    /// Second copies.
+    pub no_copies: bool,
+    /// Further attempts once one may have run.
+    pub no_repeats: bool,
+    /// Further attempts, whatever became of the first.
+    pub no_further: bool,
+}
+
 /// Something that has happened.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -473,6 +496,17 @@
     },
     /// A probe has ended.
     Probed(ProbeEnd),
+    /// What is known of a server's capacity, where [`Crowding::Told`].
+    Room {
+        /// The server.
+        server: ServerId,
+        /// Of this node's attempts, it is to hold no more where another has room.
+        most: u32,
+        /// Its capacity beside the mean; 1 where all are alike.
+        share: f64,
+    },
+    /// What is to be done without from now on.
+    Restrain(Restraint),
     /// A message from another node.
     Peer {
         /// The sender's number.
@@ -655,6 +689,7 @@
             goal: Goal { whole: 1.0, ..Goal::default() },
             list_on_request: false,
             tick: Duration::from_millis(1),
+            crowding: Crowding::Learnt,
         }
     }
 }
--- a/crates/larchspread/src/settings.rs
+++ b/crates/larchspread/src/settings.rs
@@ -2,7 +2,8 @@
 //! host needs besides. The adapter reads them from a `spawn`, the node from its configuration.
 
 use crate::{
-    Class, Goal, Limits, LoadReport, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant, Terms,
+    Class, Crowding, Goal, Limits, LoadReport, Prices, Repeat, ReportSource, Rules, Scope, Settings, Tenant,
+    Terms,
 };
 use serde::Deserialize;
 use serde::de::IntoDeserializer;
@@ -313,6 +314,7 @@
         },
         list_on_request: matches!(raw.registry_mode, Mode::Ask),
         tick: millis(raw.quantum),
+        crowding: Crowding::Learnt,
     };
     let host = HostSettings {
         columns: raw.load_report.columns,
--- a/crates/larchspread/src/state.rs
+++ b/crates/larchspread/src/state.rs
@@ -26,6 +26,8 @@
     pub ejected: Option<Duration>,
     /// What it may still be sent while cold, in usual requests.
     pub credit: Tokens,
+    /// The most that it is to hold, and its capacity beside the mean, where that is told.
+    pub room: Option<(u32, f64)>,
 }
 
 impl Server {
@@ -37,6 +39,14 @@
         (self.credit, self.count, self.out) = (credit, self.count + 1, self.out + 1);
         self.load = self.load.map(|(load, at)| (load + 1.0, at));
     }
+    /// Its capacity beside the mean: 1 as long as nothing else is told.
+    pub fn share(&self) -> f64 {
+        self.room.map_or(1.0, |(_, share)| share)
+    }
+    /// Whether it holds less than it may.
+    pub fn has_room(&self) -> bool {
+        self.room.is_none_or(|(most, _)| self.out < most)
+    }
     /// Whether it has said nothing for longer than that although something is out there.
     pub fn is_silent(&self, now: Duration, for_s: f64) -> bool {
         self.out > 0 && now.saturating_sub(self.silent_since).as_secs_f64() > for_s
@@ -382,6 +392,21 @@
     pub fn any_of(&mut self, ids: &[ServerId]) -> Option<ServerId> {
         ids.get((self.random() * ids.len() as f64) as usize).copied()
     }
+    /// One at random, each as likely as its share.
+    pub fn any_by_share(&mut self, ids: &[ServerId]) -> Option<ServerId> {
+        let share = |id: &ServerId| self[id].share();
+        // Equal servers are drawn as ever, one number for each draw, also where there is none to draw.
+        if ids.windows(2).all(|pair| share(&pair[0]) == share(&pair[1])) {
+            return self.any_of(ids);
+        }
+        let shares: Vec<_> = ids.iter().map(share).collect();
+        let mut left = self.random() * shares.iter().sum::<f64>();
+        let at = shares.iter().position(|share| {
+            left -= share;
+            left < 0.0
+        });
+        ids.get(at.unwrap_or(ids.len() - 1)).copied()
+    }
     /// Draw number `i` of a series without repeats, from the ready, which it puts in another order.
     pub fn draw(&mut self, i: usize) -> ServerId {
         let other = i + (self.random() * (self.ready.len() - i) as f64) as usize;
--- a/crates/marlwinch/src/clients.rs
+++ b/crates/marlwinch/src/clients.rs
@@ -11,17 +11,20 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use larchspread::RequestId;
 use log::{debug, info};
+use rustc_hash::FxHasher;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::hash::{Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -364,27 +367,56 @@
         let key = head.headers.contains_key(IDEMPOTENCY_KEY);
         recorder.take(head.method.as_str(), taken_target(&head), class, tenant, key, body.len());
     }
+    let made_up = head.headers.get(CORRELATION).is_none_or(|id| id.is_empty());
     let mut headers = end_to_end(head.headers);
     for (name, value) in taken.headers {
         headers.insert(name, value);
     }
+    let route = taken.route;
+    let print = route
+        .and_then(|_| fingerprint(&headers, made_up, (&head.method, &taken.target, taken.new.tenant), &body));
     let head_only = head.method == Method::HEAD;
     let (method, target, patience) = (head.method, taken.target, taken.patience);
     let payload = Rc::new(Payload { method, target, headers, body, patience });
     let (sender, receiver) = oneshot::channel();
     let mut present = Present { id, events: &taken.events, owed: true };
-    let arrival = Arrival { new: taken.new, at, payload, answer: sender };
+    let arrival = Arrival { new: taken.new, at, payload, print, answer: sender };
     let arrived = taken.events.send(NodeEvent::Arrived(arrival));
     let answer = receiver.await;
     present.owed = false;
     drop(place);
     match (arrived, answer) {
+        (Ok(()), Ok(Answer::Refused { fallback: true, retry_after })) => Ok(front
+            .fallback(route)
+            .unwrap_or_else(|| refused(StatusCode::SERVICE_UNAVAILABLE, retry_after, front.whole_seconds()))),
         (Ok(()), Ok(answer)) => Ok(final_answer(answer, front.whole_seconds(), head_only)),
         // The node's task has ended, and the process ends with it.
         _ => Err(Bad::new(StatusCode::INTERNAL_SERVER_ERROR, "the node has failed")),
     }
 }
 
+/// A body of fewer bytes may well be another client's of the same words.
+const TELLING_BODY: usize = 16;
+
+/// What makes another request the same as this one: its key, the id that its client gave it, or a body that no other
+/// has. `None` where two clients may well ask the same.
+fn fingerprint(
+    headers: &HeaderMap,
+    made_up: bool,
+    (method, target, tenant): (&Method, &PathAndQuery, usize),
+    body: &Bytes,
+) -> Option<u64> {
+    let mut hasher = FxHasher::default();
+    (method.as_str(), target.as_str(), tenant).hash(&mut hasher);
+    match (headers.get(IDEMPOTENCY_KEY), headers.get(CORRELATION).filter(|_| !made_up)) {
+        (Some(key), _) => (1, key.as_bytes()).hash(&mut hasher),
+        (None, Some(id)) => (2, id.as_bytes()).hash(&mut hasher),
+        (None, None) if body.len() >= TELLING_BODY => (3, &body[..]).hash(&mut hasher),
+        (None, None) => return None,
+    }
+    Some(hasher.finish())
+}
+
 /// The target as it came.
 fn taken_target(head: &Parts) -> &str {
     head.uri.path_and_query().map_or("/", |target| target.as_str())
@@ -472,7 +504,7 @@
             response.headers_mut().extend(length.map(|length| (header::CONTENT_LENGTH, length)));
             response
         }
-        Answer::Refused { retry_after } => {
+        Answer::Refused { retry_after, .. } => {
             refused(StatusCode::SERVICE_UNAVAILABLE, retry_after, whole_seconds)
         }
         Answer::Failed { timed_out: true } => {
--- a/crates/marlwinch/src/file_front.rs
+++ b/crates/marlwinch/src/file_front.rs
@@ -5,10 +5,12 @@
 use crate::headers::{CORRELATION, IDEMPOTENCY_KEY, REPEAT, TIME_LEFT, seconds};
 use crate::node::NodeEvent;
 use crate::platform_front::key_number;
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, StatusCode, Version};
+use hyper::{Method, Response, StatusCode, Version};
 use larchspread::{NewRequest, RequestId};
 use operator::route::Found;
 use operator::{KeySource, Plan, target};
@@ -113,6 +115,16 @@
         true
     }
 
+    fn fallback(&self, route: Option<usize>) -> Option<Response<Full<Bytes>>> {
+        let fallback = self.plan.routes[route?].terms.fallback.value.as_ref()?;
+        let mut response = Response::new(Full::from(fallback.body.clone()));
+        *response.status_mut() = StatusCode::from_u16(fallback.status).ok()?;
+        response.headers_mut().insert(header::CONTENT_TYPE, fallback.media.clone());
+        // What stands in for an answer for now must not be kept as one.
+        response.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+        Some(response)
+    }
+
     fn labels(&self, taken: &Taken) -> (String, Option<String>) {
         let class = taken.route.map(|number| self.plan.routes[number].class_name.clone());
         let tenant = taken.limit.and_then(|(_, tenant)| self.plan.tenants.get(tenant?));
--- a/crates/marlwinch/src/file_node.rs
+++ b/crates/marlwinch/src/file_node.rs
@@ -7,14 +7,17 @@
 use crate::faults;
 use crate::file_front::{FileFront, Ids};
 use crate::file_source::{self, RefusedFile};
+use crate::gated::Gated;
 use crate::listing::Update;
-use crate::node::{Clock, Node, NodeEvent};
+use crate::node::{Change, Clock, Node, NodeEvent};
 use crate::platform::{KEPT_FREE, KIB_A_CLIENT};
 use crate::recorder::Recorder;
 use larchspread::settings::Column;
-use larchspread::{Balancer, ListKind, ServerEntry, ServerId};
+use larchspread::{Balancer, ListKind, ServerEntry, ServerId, ServerState};
 use log::{error, info, warn};
 use operator::{ClusterPlan, Plan};
+use overload::Line;
+use overload::storm::{Bound, Storm};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -40,21 +43,31 @@
 impl Running {
     /// The list of a file's boxes. One that is new here, or at another address, may have just started; how long ago
     /// those of the first list did is not known, and they count as warm.
-    fn list(&mut self, plan: &ClusterPlan, now: Duration) -> Update {
+    fn list(&mut self, plan: &ClusterPlan, now: Duration) -> (Update, Vec<Line>) {
         let first = self.version == 0;
         let mut listed = HashMap::new();
         let mut entries = Vec::with_capacity(plan.boxes.len());
+        let mut lines = Vec::with_capacity(plan.boxes.len());
         for b in &plan.boxes {
             let before = self.listed.get(&b.entry.id).filter(|(address, _)| *address == b.address);
             let started = match before {
                 Some((_, started)) => *started,
-                None => (!first && plan.new_boxes_are_cold).then_some(now),
+                None => (!first).then_some(now),
             };
             listed.insert(b.entry.id, (b.address, started));
-            entries.push((ServerEntry { started, ..b.entry }, b.address));
+            let entry = b.entry;
+            lines.push(Line {
+                id: entry.id,
+                weight: f64::from(entry.weight),
+                kind: entry.kind,
+                ready: entry.state == ServerState::Ready,
+                since: started,
+            });
+            let started = started.filter(|_| plan.new_boxes_are_cold);
+            entries.push((ServerEntry { started, ..entry }, b.address));
         }
         (self.listed, self.version) = (listed, self.version + 1);
-        Update { kind: ListKind::Full, version: self.version, entries }
+        (Update { kind: ListKind::Full, version: self.version, entries }, lines)
     }
 }
 
@@ -64,6 +77,8 @@
     seed: u64,
     sockets: Rc<Sockets>,
     running: HashMap<String, Running>,
+    /// Further attempts of all clusters.
+    storm: Rc<RefCell<Storm>>,
     faults: mpsc::UnboundedSender<String>,
 }
 
@@ -72,12 +87,14 @@
     /// answered. Returns whom to send to, by the plan's numbers. Nothing waits in here, so that no request comes between.
     fn apply(&mut self, plan: &Plan) -> Vec<mpsc::UnboundedSender<NodeEvent>> {
         let mut events = Vec::with_capacity(plan.clusters.len());
+        self.storm.borrow_mut().set_bound(bound_of(plan));
         for cluster in &plan.clusters {
             let now = self.clock.now();
             match self.running.get_mut(&cluster.name) {
                 Some(running) => {
-                    let update = running.list(cluster, now);
-                    let changed = NodeEvent::Changed(Box::new((cluster.settings.clone(), update)));
+                    let (update, lines) = running.list(cluster, now);
+                    let (settings, gate) = (cluster.settings.clone(), cluster.gate.clone());
+                    let changed = NodeEvent::Changed(Box::new(Change { settings, update, gate, lines }));
                     // A task that has ended has ended the process with it.
                     let _ = running.events.send(changed);
                 }
@@ -100,7 +117,7 @@
         let (events, events_out) = mpsc::unbounded_channel();
         let (_, lists) = mpsc::channel(1);
         let mut running = Running { events: events.clone(), listed: HashMap::new(), version: 0 };
-        let update = running.list(cluster, self.clock.now());
+        let (update, lines) = running.list(cluster, self.clock.now());
         let seed = self.seed ^ ServerId::named(&cluster.name).0;
         let balancer = Balancer::new(cluster.settings.clone(), seed);
         let backends = Rc::new(Backends::new(
@@ -111,6 +128,8 @@
             COLUMNS.to_vec(),
         ));
         let node = Node::new(balancer, self.clock, backends, events, Rc::new(Cell::new(true)));
+        let gated = Gated::new(self.clock.now(), cluster.gate.clone(), self.storm.clone());
+        let node = node.behind(gated, &lines);
         let task = spawn_local(node.run(events_out, lists, Some(update)));
         let (faults, name) = (self.faults.clone(), cluster.name.clone());
         spawn_local(async move {
@@ -158,6 +177,7 @@
         seed,
         sockets: Rc::new(Sockets::new(sockets - most_clients)),
         running: HashMap::new(),
+        storm: Rc::new(RefCell::new(Storm::new(bound_of(&plan)))),
         faults: faults_in,
     };
     let ids = Rc::new(Ids::new(seed.rotate_left(32) ^ clock.now().as_nanos() as u64));
@@ -243,6 +263,10 @@
     }
 }
 
+fn bound_of(plan: &Plan) -> Bound {
+    Bound { share: plan.further.share, per_s: plan.further.per_s }
+}
+
 fn recorder_of(plan: &Plan) -> Result<Option<Recorder>, String> {
     let Some(trace) = &plan.trace else { return Ok(None) };
     let path = Path::new(&trace.file);
--- a/crates/marlwinch/src/front.rs
+++ b/crates/marlwinch/src/front.rs
@@ -21,6 +21,10 @@
     fn read(&self, head: &Parts) -> Result<Taken, Bad>;
     /// Whether waits are told in whole seconds, as clients at large expect, or as exactly as they are known.
     fn whole_seconds(&self) -> bool;
+    /// What is answered in place of a refusal, where its route has such an answer.
+    fn fallback(&self, _route: Option<usize>) -> Option<Response<Full<Bytes>>> {
+        None
+    }
     /// The names of a request's class and tenant, for a recorded trace.
     fn labels(&self, taken: &Taken) -> (String, Option<String>);
 }
--- a/crates/marlwinch/src/lib.rs
+++ b/crates/marlwinch/src/lib.rs
@@ -15,6 +15,7 @@
 mod file_node;
 mod file_source;
 mod front;
+mod gated;
 mod headers;
 mod heads;
 pub mod listing;
--- a/crates/marlwinch/src/node.rs
+++ b/crates/marlwinch/src/node.rs
@@ -2,6 +2,7 @@
 //! carries out what that orders, in order. It decides nothing.
 
 use crate::backends::{Backends, Ended, Payload, Reply};
+use crate::gated::{Gated, Next};
 use crate::listing::Update;
 use larchspread::{
     Action, AttemptEnd, Balancer, Event, ListKind, NewRequest, Outcome, ProbeEnd, RequestId, ServerId,
@@ -31,14 +32,25 @@
     /// When it had come in; the client's time runs from before then.
     pub at: Instant,
     pub payload: Rc<Payload>,
+    /// What makes another request the same as this one, where that can be told.
+    pub print: Option<u64>,
     pub answer: oneshot::Sender<Answer>,
 }
 
+/// What an operator's file makes of a cluster.
+pub struct Change {
+    pub settings: Settings,
+    pub update: Update,
+    pub gate: overload::Terms,
+    /// The boxes as the gate sees them.
+    pub lines: Vec<overload::Line>,
+}
+
 /// The one final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
     Served(Reply),
-    Refused { retry_after: Option<Duration> },
+    Refused { retry_after: Option<Duration>, fallback: bool },
     Failed { timed_out: bool },
 }
 
@@ -46,7 +58,7 @@
 /// and one end for each attempt and probe, so what waits is bounded by those.
 pub enum NodeEvent {
     /// Other settings and another list, from the operator's file. What is in hand goes on as it was taken.
-    Changed(Box<(Settings, Update)>),
+    Changed(Box<Change>),
     /// Nothing more will come: the task ends once all is answered.
     Retired,
     Arrived(Arrival),
@@ -123,6 +135,8 @@
     version: u32,
     figures: Figures,
     retired: bool,
+    /// What holds requests back, where the operator's file says how.
+    gated: Option<Gated>,
 }
 
 impl Node {
@@ -145,9 +159,17 @@
             ready,
             version: 0,
             figures: Figures::default(),
+            gated: None,
         }
     }
 
+    /// The same with a gate before the module, and the boxes that it is to know.
+    pub fn behind(mut self, mut gated: Gated, lines: &[overload::Line]) -> Self {
+        gated.list(self.clock.now(), lines);
+        self.gated = Some(gated);
+        self
+    }
+
     /// Runs until there is nobody left to tell it anything.
     pub async fn run(
         mut self,
@@ -159,16 +181,20 @@
         if let Some(known) = known {
             has_known = !known.entries.is_empty();
             self.list(known);
+            self.follow_gate();
         }
         let mut first_word = pin!(sleep(FIRST_WORD));
         let mut figures = tokio::time::interval(FIGURES_EVERY);
         let mut prune = tokio::time::interval(PRUNE_EVERY);
         loop {
             self.ring();
-            if self.retired && self.open.is_empty() {
+            self.follow_gate();
+            if self.retired && self.open.is_empty() && self.gated.as_ref().is_none_or(Gated::is_empty) {
                 return;
             }
             let due = self.timers.peek().map(|Reverse((at, ..))| *at);
+            let tick = self.gated.as_ref().and_then(Gated::next_tick);
+            let due = due.into_iter().chain(tick).min();
             let due = due.map(|at| self.clock.started + at.saturating_sub(self.clock.unix));
             tokio::select! {
                 biased;
@@ -217,21 +243,29 @@
         match event {
             NodeEvent::Arrived(arrival) => {
                 self.figures.taken += 1;
-                let (id, mut new) = (arrival.new.id, arrival.new);
-                new.remaining = new.remaining.saturating_sub(arrival.at.elapsed());
-                let open =
-                    Open { payload: arrival.payload, answer: Some(arrival.answer), attempts: Vec::new() };
-                self.open.insert(id, open);
-                self.tell(Event::Request(new));
+                let now = self.clock.now();
+                let next = match &mut self.gated {
+                    Some(gated) => gated.arrive(now, arrival),
+                    None => Some(Next::Start(arrival)),
+                };
+                self.go_on(next);
             }
             NodeEvent::Changed(changed) => {
-                let (settings, update) = *changed;
+                let Change { settings, update, gate, lines } = *changed;
                 self.balancer.reconfigure(settings);
                 self.list(update);
+                if let Some(gated) = &mut self.gated {
+                    let now = self.clock.now();
+                    gated.list(now, &lines);
+                    gated.replace(now, gate);
+                }
             }
             NodeEvent::Retired => self.retired = true,
             NodeEvent::Gone(id) => {
-                if let Some(answer) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
+                let now = self.clock.now();
+                if self.gated.as_mut().is_some_and(|gated| gated.gone(now, id)) {
+                    self.figures.gone += 1;
+                } else if let Some(answer) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
                     drop(answer);
                     self.figures.gone += 1;
                     self.tell(Event::ClientGone { id });
@@ -246,6 +280,38 @@
         }
     }
 
+    fn go_on(&mut self, next: Option<Next>) {
+        match next {
+            Some(Next::Start(arrival)) => self.start(arrival),
+            Some(Next::Refused) => self.figures.refused += 1,
+            None => {}
+        }
+    }
+
+    /// The module gets a request, with the time that it has left.
+    fn start(&mut self, arrival: Arrival) {
+        let (id, mut new) = (arrival.new.id, arrival.new);
+        new.remaining = new.remaining.saturating_sub(arrival.at.elapsed());
+        let open = Open { payload: arrival.payload, answer: Some(arrival.answer), attempts: Vec::new() };
+        self.open.insert(id, open);
+        self.tell(Event::Request(new));
+    }
+
+    /// Tells the module what the gate has learnt, and starts or refuses who has waited; until nothing more comes of it.
+    fn follow_gate(&mut self) {
+        loop {
+            let now = self.clock.now();
+            let Some(gated) = &mut self.gated else { return };
+            gated.tick(now);
+            let (news, decided) = (gated.news(now), gated.decided());
+            if news.is_empty() && decided.is_empty() {
+                return;
+            }
+            news.into_iter().for_each(|event| self.tell(event));
+            decided.into_iter().for_each(|next| self.go_on(Some(next)));
+        }
+    }
+
     /// Each send ends once: what comes after a cancel has been told is passed over.
     fn attempt_ended(&mut self, id: RequestId, number: u32, ended: Ended) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -268,6 +334,10 @@
         }
         let finished = open.answer.is_none();
         self.figures.ends[outcome as usize] += 1;
+        let now = self.clock.now();
+        if let Some(gated) = &mut self.gated {
+            gated.ended(now, id, server, outcome, elapsed);
+        }
         self.tell(Event::AttemptEnded(AttemptEnd {
             id,
             attempt: number,
@@ -285,6 +355,10 @@
         let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.task.is_none());
         if self.open.get(&id).is_some_and(over) {
             self.open.remove(&id);
+            let now = self.clock.now();
+            if let Some(gated) = &mut self.gated {
+                gated.done(now, id);
+            }
         }
     }
 
@@ -294,18 +368,23 @@
         let mut actions = Vec::new();
         while let Some(event) = news.pop_front() {
             let ended = if let Event::AttemptEnded(end) = &event { Some(end.id) } else { None };
+            let now = self.clock.now();
             self.balancer.handle(self.clock.now(), event, &mut actions);
             for action in actions.drain(..) {
                 match action {
                     Action::Send { id, server, timeout } => {
+                        if let (Some(gated), Some(open)) = (&mut self.gated, self.open.get(&id)) {
+                            gated.sent(now, server, !open.attempts.is_empty());
+                        }
                         send(&mut self.open, &self.backends, &self.events, (id, server, timeout), &mut news);
                         self.figures.sends += 1;
                     }
                     Action::Refuse { id, retry_after } => {
                         if let Some(answer) = take_answer(&mut self.open, id) {
                             self.figures.refused += 1;
-                            let _ = answer.send(Answer::Refused { retry_after });
+                            let _ = answer.send(Answer::Refused { retry_after, fallback: false });
                         }
+                        self.forget(id);
                     }
                     Action::Fail { id } => {
                         let out = |a: &Attempt| a.timed_out || a.task.is_some();
@@ -314,6 +393,7 @@
                             self.figures.failed += 1;
                             let _ = answer.send(Answer::Failed { timed_out });
                         }
+                        self.forget(id);
                     }
                     Action::Cancel { id, attempt } => {
                         let Some(open) = self.open.get_mut(&id) else { continue };
@@ -322,6 +402,9 @@
                         task.abort();
                         let outcome = Outcome::Cancelled;
                         self.figures.ends[outcome as usize] += 1;
+                        if let Some(gated) = &mut self.gated {
+                            gated.ended(now, id, ended.server, outcome, ended.sent.elapsed());
+                        }
                         news.push_back(Event::AttemptEnded(AttemptEnd {
                             id,
                             attempt,
@@ -377,16 +460,14 @@
             counters.refused.get(),
             counters.stale.get(),
         );
+        if let Some(gated) = &self.gated {
+            info!("{}", gated.figures());
+        }
     }
 }
 
 fn take_answer(open: &mut HashMap<RequestId, Open>, id: RequestId) -> Option<oneshot::Sender<Answer>> {
-    let open_request = open.get_mut(&id)?;
-    let answer = open_request.answer.take();
-    if open_request.attempts.iter().all(|a| a.task.is_none()) {
-        open.remove(&id);
-    }
-    answer
+    open.get_mut(&id)?.answer.take()
 }
 
 /// Starts an attempt as a task of its own, whose end comes back as an event. Nothing is sent for a request that has
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -47,6 +47,7 @@
 pub fn file(file: &File, report: &mut Report) -> Vec<Checked> {
     names(file, report);
     file.clusters.iter().for_each(|cluster| boxes(cluster, report));
+    file.clusters.iter().for_each(|cluster| steps(file, cluster, report));
     node(file, report);
     shares(file, report);
     for class in &file.classes {
@@ -143,6 +144,32 @@
     }
 }
 
+fn steps(file: &File, cluster: &Cluster, report: &mut Report) {
+    for step in cluster.steps.iter().flatten() {
+        if step.back.value >= step.at.value {
+            let message = format!(
+                "this step is taken back at {:.1}% of work refused, and taken at {:.1}%",
+                step.back.value * 100.0,
+                step.at.value * 100.0
+            );
+            let help = "let `back` be well below `at`, or it is taken and taken back for ever";
+            let fault = Diagnostic::new(Code::StepBack, step.back.span.clone(), message, help);
+            report.push(fault.with(step.at.span.clone(), "taken here"));
+        }
+        for name in &step.classes {
+            if !file.classes.iter().any(|class| class.name.value == name.value) {
+                let known = file.classes.iter().map(|c| c.name.value.as_str()).collect();
+                unknown(Code::UnknownClass, "class", name, known, report);
+            }
+        }
+    }
+}
+
+/// Whether a step of a cluster answers with fallbacks.
+fn falls_back(cluster: &Cluster) -> bool {
+    cluster.steps.iter().flatten().any(|step| step.does == crate::model::StepDoes::Fallback)
+}
+
 fn node(file: &File, report: &mut Report) {
     let zones: HashSet<_> = file
         .clusters
@@ -360,6 +387,24 @@
             );
         }
     }
+    if let Some(wait) = r.wait.value.filter(|wait| *wait >= until) {
+        fault(
+            Code::QueueTooLong,
+            at(&r.wait, class),
+            format!("a wait of {} leaves nothing of the request's {}", show(wait), show(until)),
+            "let it wait for a part of its time, so that an answer can still come".into(),
+            r.time.span.clone().map(|span| (span, "the request's time")),
+        );
+    }
+    if r.fallback.value.is_some() && !matches!(class.repeat.value, Repeat::Safe) {
+        fault(
+            Code::FallbackOfEffect,
+            at(&r.fallback, class),
+            format!("`{name}` has effects, and a client that gets a fallback would think that it had one"),
+            "write `fallback = false` here, or make it that of a safe class".into(),
+            Some((class.repeat.span.clone(), "has effects")),
+        );
+    }
     if let Some(queue) = r.queue.value {
         if r.in_hand.value.is_none() {
             fault(
@@ -421,6 +466,11 @@
     let terms = Levels(levels).resolve();
     self::terms(file, its, &terms, report);
     keyed(file, route, its, cluster, report);
+    if terms.fallback.value.is_some() && !falls_back(&file.clusters[cluster]) {
+        let message = format!("no step of `{}` answers with fallbacks", file.clusters[cluster].name.value);
+        let help = "add a `[[cluster.step]]` with `does = \"fallback\"`, or leave the fallback out";
+        report.push(Diagnostic::new(Code::FallbackUnused, self::at(&terms.fallback, its), message, help));
+    }
     let methods = methods(route, its, report);
     let headers = route.headers.iter().map(|header| header.value.clone()).collect();
     let condition = Condition { host: host?, pattern: pattern?, methods, headers };
--- a/crates/operator/src/diagnostic.rs
+++ b/crates/operator/src/diagnostic.rs
@@ -103,6 +103,11 @@
     QueueTooLong = "MW115", Some(OneAnswerInTime), "A request may wait in the queue for all of its time.";
     SharesOverWhole = "MW116", None, "Tenants' shares add up to more than the whole.";
     QueueWithoutLimit = "MW117", None, "A queue without a limit to wait for.";
+    StepBack = "MW118", None, "A step whose way back is not below its way in.";
+    LimitBounds = "MW119", None, "A limit that starts outside of its bounds.";
+    FallbackOfEffect = "MW120", Some(NoEffectTwice), "A class with effects has a fallback, which its clients would take for their effect.";
+    FallbackUnused = "MW121", None, "A fallback that no step of its cluster answers with.";
+    StepClasses = "MW122", None, "A step that names classes and sheds none, or sheds and names none.";
     RoutesTie = "MW130", None, "Two routes that some request can't tell apart.";
     RouteNeverMatches = "MW131", None, "A route that no request can match.";
     RoutePath = "MW132", None, "A route without a path, or with more than one.";
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -162,6 +162,9 @@
             t.map_or("no limit".into(), |t| format!("{} a second, {} at once", t.per_s, t.burst))
         }),
         row("retry-after", &r.retry_after, |t| show(*t)),
+        row("worth", &r.worth, f64::to_string),
+        row("wait", &r.wait, or("a quarter of what is left")),
+        row("fallback", &r.fallback, |f| f.as_ref().map_or("none".into(), |f| format!("{}", f.status))),
     ]
 }
 
--- a/crates/operator/src/model.rs
+++ b/crates/operator/src/model.rs
@@ -67,6 +67,8 @@
     pub tenant_header: Option<At<HeaderName>>,
     /// What becomes of `%2F` in a path: refused or kept.
     pub keep_encoded_slash: Option<At<bool>>,
+    /// Further attempts over all clusters.
+    pub further: Option<At<Budget>>,
 }
 
 /// `[trace]`: requests that are taken are written down, to be replayed.
@@ -98,10 +100,71 @@
     pub reports: Option<At<Reports>>,
     /// How its boxes start.
     pub cold: Option<At<Cold>>,
+    /// How many requests a box may hold; `None` inside for no limit.
+    pub limit: Option<At<Option<LimitRule>>>,
+    /// Over which time a box that is listed later gets its full part.
+    pub slow_start: Option<At<Duration>>,
+    /// `[[cluster.step]]`: what it does without when overloaded; `None` for what is built in.
+    pub steps: Option<Vec<Step>>,
     /// `[[cluster.box]]`.
     pub boxes: Vec<Box>,
 }
 
+/// How many requests a box of average weight may hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitRule {
+    /// As its answers teach, within bounds.
+    Adaptive {
+        /// Where it starts.
+        start: f64,
+        /// Never below.
+        least: f64,
+        /// Never above.
+        most: f64,
+    },
+    /// This many, over all nodes.
+    Fixed(f64),
+}
+
+/// `[[cluster.step]]`: something that an overloaded cluster does without.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// The share of work that is refused at which it is taken.
+    pub at: At<f64>,
+    /// And the one at which it is taken back.
+    pub back: At<f64>,
+    /// Each for so long.
+    pub after: Duration,
+    /// What is done without.
+    pub does: StepDoes,
+    /// The classes of a step that sheds.
+    pub classes: Vec<At<String>>,
+}
+
+/// What a step does without.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StepDoes {
+    /// Second copies.
+    NoCopies,
+    /// Further attempts once one may have run.
+    OneAttempt,
+    /// Some classes.
+    Shed,
+    /// Refusals of routes that have a fallback.
+    Fallback,
+}
+
+/// What is answered in place of a refusal, once a step says so.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fallback {
+    /// The status, from 200 to 599.
+    pub status: u16,
+    /// The media type.
+    pub media: HeaderValue,
+    /// The body.
+    pub body: String,
+}
+
 /// Whether answers carry load reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reports {
@@ -271,4 +334,8 @@
     pub tenant_rate: Option<At<Option<TenantRate>>>,
     /// What a refused client is told to wait.
     pub retry_after: Option<At<Duration>>,
+    /// How long a request may wait for room at the boxes.
+    pub wait: Option<At<Duration>>,
+    /// What is answered in place of a refusal; `None` inside for nothing.
+    pub fallback: Option<At<Option<Fallback>>>,
 }
--- a/crates/operator/src/parse.rs
+++ b/crates/operator/src/parse.rs
@@ -4,8 +4,10 @@
 use crate::diagnostic::{Code, Diagnostic, Report};
 use crate::model::*;
 use crate::read::{self, Section, Value};
+use crate::resolve::built_in;
 use http::{HeaderName, HeaderValue, Method};
 use larchspread::{BackOff, Budget, Repeat, RetryOn, Scope, ServerState, Settings};
+use std::time::Duration;
 use toml::de::{DeTable, DeValue};
 
 /// The largest file that is read: some 30,000 routes. Guards a reload's memory and time.
@@ -88,6 +90,7 @@
         keep_encoded_slash: s
             .get("encoded-slash")
             .and_then(|v| read::choice(v, &[("refuse", false), ("keep", true)], report)),
+        further: s.get("further-attempts").and_then(|v| budget(v, "further-attempts", report)),
     };
     s.finish(report);
     node
@@ -125,9 +128,81 @@
         let section = read::table(v, "cold", report)?;
         cold(section, report).map(|cold| At::new(cold, v.span()))
     });
+    let limit = s.get("limit").and_then(|v| read::unless_false(v, report, limit));
+    let slow_start = s.get("slow-start").and_then(|v| read::duration(v, false, report));
+    let steps = s.get("step").map(|v| each(Some(v), "[cluster.step]", report, step));
     let boxes = each(s.get("box"), "[cluster.box]", report, a_box);
     s.finish(report);
-    Some(Cluster { name: name?, idle_close, reports, cold, boxes })
+    Some(Cluster { name: name?, idle_close, reports, cold, limit, slow_start, steps, boxes })
+}
+
+/// The most that a box may be allowed to hold: more connections than a machine has ports make no sense.
+const MOST_HELD: f64 = 65_535.0;
+
+fn limit(value: Value, report: &mut Report) -> Option<LimitRule> {
+    let mut s = read::table(value, "limit", report)?;
+    let LimitRule::Adaptive { start, least, most } = built_in::LIMIT else { return None };
+    let mut part =
+        |key: &'static str, least: f64| s.get(key).map(|v| read::number(v, (least, MOST_HELD), report));
+    let (fixed, given) = (part("fixed", 1.0), [part("start", 1.0), part("least", 1.0), part("most", 1.0)]);
+    s.finish(report);
+    if let Some(fixed) = fixed {
+        if given.iter().any(Option::is_some) {
+            let message = "a fixed limit has no bounds";
+            let help = "write `limit = { fixed = 50 }`, or bounds without `fixed`";
+            report.push(Diagnostic::new(Code::LimitBounds, value.span(), message, help));
+            return None;
+        }
+        return Some(LimitRule::Fixed(fixed?.value));
+    }
+    let [own_start, own_least, own_most] = given;
+    // What is not said gives way to what is.
+    let most = own_most.map_or(Some(most), |most| Some(most?.value))?;
+    let own_start = own_start.map_or(Some(None), |start| Some(Some(start?.value)))?;
+    let least_of_rest = least.min(most).min(own_start.unwrap_or(least));
+    let least = own_least.map_or(Some(least_of_rest), |least| Some(least?.value))?;
+    let start = own_start.unwrap_or(start.min(most).max(least));
+    if !(least..=most).contains(&start) {
+        let message = format!("the limit starts at {start}, and may be from {least} to {most}");
+        let help = "let `least` be at most `start`, and `start` at most `most`";
+        report.push(Diagnostic::new(Code::LimitBounds, value.span(), message, help));
+        return None;
+    }
+    Some(LimitRule::Adaptive { start, least, most })
+}
+
+/// How long a step's threshold must be passed, where the file does not say.
+const STEP_AFTER: Duration = Duration::from_secs(1);
+
+fn step(mut s: Section, report: &mut Report) -> Option<Step> {
+    let words = [
+        ("no-copies", StepDoes::NoCopies),
+        ("one-attempt", StepDoes::OneAttempt),
+        ("shed", StepDoes::Shed),
+        ("fallback", StepDoes::Fallback),
+    ];
+    let at = s.need("at", "\"10%\"", report).and_then(|v| read::share(v, report));
+    let back = s.need("back", "\"2%\"", report).and_then(|v| read::share(v, report));
+    let after = s.get("after").map(|v| read::duration(v, false, report));
+    let does = s.need("does", "\"no-copies\"", report).and_then(|v| read::choice(v, &words, report));
+    let classes = s.get("classes").map(|v| (v.span(), read::array(v, "names of classes", report)));
+    let span = s.span.clone();
+    s.finish(report);
+    let named = classes.map(|(span, items)| (span, items.unwrap_or_default()));
+    let mut classes = Vec::new();
+    for item in named.iter().flat_map(|(_, items)| items) {
+        classes.push(read::text(item, report)?);
+    }
+    let (at, back, does) = (at?, back?, does?);
+    if (does.value == StepDoes::Shed) == classes.is_empty() {
+        let message = "a step that sheds says which classes, and no other step does";
+        let help = "add `classes = [\"look\"]` to a step that sheds, or leave them out";
+        let blame = named.map_or(span, |(span, _)| span);
+        report.push(Diagnostic::new(Code::StepClasses, blame, message, help));
+        return None;
+    }
+    let after = after.map_or(Some(STEP_AFTER), |after| Some(after?.value))?;
+    Some(Step { at, back, after, does: does.value, classes })
 }
 
 fn cold(mut s: Section, report: &mut Report) -> Option<Cold> {
@@ -382,14 +457,49 @@
         retry_on: s.get("retry-on").and_then(|v| retry_on(v, report)),
         back_off: s.get("back-off").and_then(|v| read::unless_false(v, report, back_off)),
         copies: s.get("copies").and_then(|v| read::unless_false(v, report, copies)),
-        budget: s.get("budget").and_then(|v| budget(v, report)),
+        budget: s.get("budget").and_then(|v| budget(v, "budget", report)),
         in_hand: s.get("in-hand").and_then(|v| {
             read::unless_false(v, report, |v, report| count(v, (1, most), report).map(|n| n.value))
         }),
         queue: s.get("queue").and_then(|v| read::unless_false(v, report, queue)),
         tenant_rate: s.get("tenant-rate").and_then(|v| read::unless_false(v, report, tenant_rate)),
         retry_after: s.get("retry-after").and_then(|v| read::duration(v, true, report)),
+        wait: s.get("wait").and_then(|v| read::duration(v, true, report)),
+        fallback: s.get("fallback").and_then(|v| read::unless_false(v, report, fallback)),
+    }
+}
+
+/// The largest body of a fallback: a notice, not a page.
+const LARGEST_FALLBACK: usize = 16 << 10;
+
+fn fallback(value: Value, report: &mut Report) -> Option<Fallback> {
+    let mut s = read::table(value, "fallback", report)?;
+    let status = s.get("status").map(|v| count::<u16>(v, (200, 599), report));
+    let media = s.get("type").map(|v| read::text(v, report));
+    let body = s.need("body", "\"closed for now\"", report).and_then(|v| read::text(v, report));
+    s.finish(report);
+    let status = status.map_or(Some(200), |status| Some(status?.value))?;
+    let media = match media {
+        None => HeaderValue::from_static("text/plain; charset=utf-8"),
+        Some(text) => {
+            let text = text?;
+            let Ok(media) = HeaderValue::from_str(&text.value) else {
+                let message = format!("{:?} is no media type", text.value);
+                let help = "write one such as `application/json`";
+                report.push(Diagnostic::new(Code::HeaderForm, text.span, message, help));
+                return None;
+            };
+            media
+        }
+    };
+    let body = body?;
+    if body.value.len() > LARGEST_FALLBACK {
+        let message =
+            format!("this body has {} bytes, {LARGEST_FALLBACK} at most are kept", body.value.len());
+        report.push(Diagnostic::new(Code::NumberRange, body.span, message, "write a shorter one"));
+        return None;
     }
+    Some(Fallback { status, media, body: body.value })
 }
 
 fn retry_on(value: Value, report: &mut Report) -> Option<At<RetryOn>> {
@@ -431,8 +541,8 @@
 /// Copies as a share of requests, where a file does not say: the tail, and little more load.
 const DEFAULT_COPIES: f64 = 0.05;
 
-fn budget(value: Value, report: &mut Report) -> Option<At<Budget>> {
-    let mut s = read::table(value, "budget", report)?;
+fn budget(value: Value, key: &str, report: &mut Report) -> Option<At<Budget>> {
+    let mut s = read::table(value, key, report)?;
     let share = s.need("share", "0.2", report).and_then(|v| read::share(v, report));
     let floor = s.get("floor").map(|v| read::rate(v, report));
     s.finish(report);
--- a/crates/operator/src/plan.rs
+++ b/crates/operator/src/plan.rs
@@ -3,14 +3,18 @@
 
 use crate::admission::Limit;
 use crate::check::{Checked, class_levels, used_captures};
-use crate::model::{Cluster, File, PathRule, Reports, Route};
+use crate::model::{Cluster, File, LimitRule, PathRule, Reports, Route, StepDoes};
 use crate::resolve::{Levels, Resolved, built_in};
 use crate::route::{Condition, Table};
 use http::HeaderName;
 use larchspread::{
-    Class, Copies, Goal, Limits, Prices, ReportSource, Rules, ServerEntry, ServerId, ServerState, Settings,
-    Tenant, Terms,
+    Budget, Class, Copies, Crowding, Goal, Limits, Prices, ReportSource, Rules, ServerEntry, ServerId,
+    ServerState, Settings, Tenant, Terms,
 };
+use overload::boxes::Limiting;
+use overload::brownout::{Does, Step};
+use overload::gate::{ClassTerms, TenantTerms};
+use overload::limit::Bounds;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,6 +45,8 @@
     pub tenant_header: HeaderName,
     /// The tenants by name; where there are none, nobody is asked.
     pub tenants: Vec<String>,
+    /// Further attempts over all clusters.
+    pub further: Budget,
     /// What is written down of the requests that are taken.
     pub trace: Option<crate::model::Trace>,
     /// Where to listen.
@@ -62,6 +68,8 @@
     pub name: String,
     /// What its decision module is told.
     pub settings: Settings,
+    /// What its gate is made of.
+    pub gate: overload::Terms,
     /// Its boxes.
     pub boxes: Vec<BoxPlan>,
     /// How long a box keeps an idle connection.
@@ -147,6 +155,7 @@
     let nodes = file.node.nodes.as_ref().map_or(1, |n| n.value);
     let mut limits: Vec<Limit> = Vec::new();
     let mut classes: Vec<Vec<Class>> = file.clusters.iter().map(|_| Vec::new()).collect();
+    let mut gates: Vec<Vec<(usize, ClassTerms)>> = file.clusters.iter().map(|_| Vec::new()).collect();
     let class_terms: Vec<_> =
         file.classes.iter().map(|class| Levels(class_levels(file, class)).resolve()).collect();
     // There may be as many names as routes.
@@ -163,6 +172,7 @@
         let of_cluster = &mut classes[checked.cluster];
         let number = *class_numbers.entry((checked.cluster, name.clone())).or_insert_with(|| {
             of_cluster.push(decided(class.repeat.value, &checked.terms));
+            gates[checked.cluster].push((checked.class, gated(name.clone(), &checked.terms)));
             of_cluster.len() - 1
         });
         let limit = *limit_numbers.entry(name.clone()).or_insert_with(|| {
@@ -193,8 +203,11 @@
         });
         conditions.push(checked.condition);
     }
-    let clusters = file.clusters.iter().zip(classes);
-    let clusters = clusters.map(|(c, classes)| cluster(file, c, classes, (&zones, &kinds), nodes)).collect();
+    let clusters = file.clusters.iter().zip(classes).zip(gates).map(|((c, classes), gates)| {
+        let gate = gate(file, c, gates, nodes);
+        cluster(file, c, classes, gate, (&zones, &kinds), nodes)
+    });
+    let clusters = clusters.collect();
     Plan {
         name: file.node.name.as_ref().map_or("marlwinch".into(), |name| name.value.clone()),
         seed: file.node.seed.as_ref().map(|seed| seed.value),
@@ -203,6 +216,7 @@
         keep_encoded_slash: file.node.keep_encoded_slash.as_ref().is_some_and(|keep| keep.value),
         tenant_header: file.node.tenant_header.as_ref().map_or(TENANT_HEADER, |header| header.value.clone()),
         tenants: file.tenants.iter().map(|tenant| tenant.name.value.clone()).collect(),
+        further: file.node.further.as_ref().map_or(built_in::FURTHER, |further| further.value),
         trace: file.trace.clone(),
         listeners: file.listeners.iter().map(|listener| listener.address.value).collect(),
         clusters,
@@ -292,6 +306,64 @@
     }
 }
 
+/// What a class is to the gate.
+fn gated(name: String, r: &Resolved) -> ClassTerms {
+    ClassTerms { name, worth: r.worth.value, retry_after: r.retry_after.value, wait: r.wait.value }
+}
+
+/// What an overloaded cluster does without where the file does not say: copies first, as they are work that may not be
+/// needed, then attempts after one that may have run.
+fn built_in_steps() -> Vec<Step> {
+    let step = |at, back, after, does| Step { at, back, after: Duration::from_secs(after), does };
+    vec![step(0.02, 0.005, 1, Does::NoCopies), step(0.1, 0.02, 2, Does::OneAttempt)]
+}
+
+/// A cluster's gate. Allowances and limits are for all nodes together, of which each takes its part; a limit that adapts
+/// starts there and finds its own.
+fn gate(file: &File, cluster: &Cluster, classes: Vec<(usize, ClassTerms)>, nodes: u32) -> overload::Terms {
+    let nodes = f64::from(nodes);
+    let rule = cluster.limit.as_ref().map_or(Some(built_in::LIMIT), |limit| limit.value);
+    let bounds = rule.map(|rule| match rule {
+        LimitRule::Fixed(fixed) => {
+            let part = (fixed / nodes).max(1.0);
+            Bounds { start: part, least: 1.0, most: part, adapts: false }
+        }
+        LimitRule::Adaptive { start, least, most } => {
+            Bounds { start: (start / nodes).max(least), least, most, adapts: true }
+        }
+    });
+    let shed = |step: &crate::model::Step| {
+        let named = |class: &usize| step.classes.iter().any(|c| c.value == file.classes[*class].name.value);
+        classes.iter().enumerate().filter(|(_, (class, _))| named(class)).map(|(at, _)| at).collect()
+    };
+    let steps = cluster.steps.as_ref().map_or_else(built_in_steps, |steps| {
+        let does = |step: &crate::model::Step| match step.does {
+            StepDoes::NoCopies => Does::NoCopies,
+            StepDoes::OneAttempt => Does::OneAttempt,
+            StepDoes::Shed => Does::Shed(shed(step)),
+            StepDoes::Fallback => Does::Fallback,
+        };
+        let step = |s: &crate::model::Step| Step {
+            at: s.at.value,
+            back: s.back.value,
+            after: s.after,
+            does: does(s),
+        };
+        steps.iter().map(step).collect()
+    });
+    let tenants = file.tenants.iter().map(|t| TenantTerms {
+        name: t.name.value.clone(),
+        share: t.share.as_ref().map(|share| share.value),
+        allowance: t.allowance.as_ref().map_or(0.0, |allowance| allowance.value) / nodes,
+    });
+    overload::Terms {
+        limiting: Limiting { bounds, slow_start: cluster.slow_start.as_ref().map(|time| time.value) },
+        classes: classes.iter().map(|(_, terms)| terms.clone()).collect(),
+        tenants: tenants.collect(),
+        steps,
+    }
+}
+
 fn pieces(text: &str, captures: &[String]) -> Vec<Piece> {
     let mut pieces = Vec::new();
     let mut rest = text;
@@ -309,6 +381,7 @@
     file: &File,
     cluster: &Cluster,
     classes: Vec<Class>,
+    gate: overload::Terms,
     (zones, kinds): (&Names, &Names),
     nodes: u32,
 ) -> ClusterPlan {
@@ -367,7 +440,9 @@
             goal: Goal { whole: 1.0, ..Goal::default() },
             list_on_request: false,
             tick: defaults.tick,
+            crowding: Crowding::Told,
         },
+        gate,
         boxes: boxes.collect(),
         idle_close: cluster.idle_close.as_ref().map_or(IDLE_CLOSE, |time| time.value),
         new_boxes_are_cold: cluster.cold.is_some(),
--- a/crates/operator/src/resolve.rs
+++ b/crates/operator/src/resolve.rs
@@ -1,6 +1,6 @@
 //! Inheritance: what is built in < `[defaults]` < class < route. Each value keeps the level and the place it came from.
 
-use crate::model::{At, CopyRule, Queue, Span, TenantRate, Terms};
+use crate::model::{At, CopyRule, Fallback, Queue, Span, TenantRate, Terms};
 use larchspread::{BackOff, Budget, RetryOn};
 use std::fmt;
 use std::time::Duration;
@@ -60,12 +60,15 @@
     pub queue: Sourced<Option<Queue>>,
     pub tenant_rate: Sourced<Option<TenantRate>>,
     pub retry_after: Sourced<Duration>,
+    pub wait: Sourced<Option<Duration>>,
+    pub fallback: Sourced<Option<Fallback>>,
 }
 
 /// What a request has where the file says nothing. Attempts beyond the first follow only what certainly never ran, so
 /// that these are good for every class.
 pub mod built_in {
     use super::*;
+    use crate::model::LimitRule;
 
     /// The whole time.
     pub const TIME: Duration = Duration::from_secs(5);
@@ -79,6 +82,11 @@
     pub const RETRY_ON: RetryOn = RetryOn { never_ran: true, error: false, reset: false, timed_out: false };
     /// Further attempts: the usual fifth of requests, and one a second where there is little traffic.
     pub const BUDGET: Budget = Budget { share: 0.2, per_s: 1.0 };
+    /// Further attempts over all clusters, whatever their classes' budgets add up to.
+    pub const FURTHER: Budget = Budget { share: 0.2, per_s: 10.0 };
+    /// What a box may hold: enough for boxes that serve many at once to show that within a second, and little for a
+    /// box of one core to catch up with.
+    pub const LIMIT: LimitRule = LimitRule::Adaptive { start: 16.0, least: 2.0, most: 10_000.0 };
 }
 
 /// The levels from which a class's or a route's terms come, the weakest first.
@@ -123,6 +131,8 @@
             queue: self.or(|t| &t.queue, None),
             tenant_rate: self.or(|t| &t.tenant_rate, None),
             retry_after: self.or(|t| &t.retry_after, built_in::RETRY_AFTER),
+            wait: self.maybe(|t| &t.wait),
+            fallback: self.or(|t| &t.fallback, None),
             time,
             attempt_time,
         }
--- /dev/null
+++ b/crates/overload/src/storm.rs
@@ -0,0 +1,84 @@
+//! A bound on further attempts over all of a node's clusters. Each class has a budget of its own; together, when all
+//! clusters fail at once, those would still be a storm.
+
+use crate::rate::Rate;
+use std::time::Duration;
+
+/// The time that is looked at, in seconds.
+const OVER: f64 = 5.0;
+/// It is over once further attempts are down to this part of what is allowed, so that it does not flicker.
+const CALM: f64 = 0.7;
+
+/// How many further attempts a node may make.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// As a share of first attempts.
+    pub share: f64,
+    /// And so many a second whatever the traffic.
+    pub per_s: f64,
+}
+
+/// Counts a node's attempts.
+#[derive(Debug)]
+pub struct Storm {
+    bound: Bound,
+    first: Rate,
+    further: Rate,
+    raging: bool,
+}
+
+impl Storm {
+    /// Nothing has been sent yet.
+    pub fn new(bound: Bound) -> Self {
+        Storm { bound, first: Rate::over(OVER), further: Rate::over(OVER), raging: false }
+    }
+
+    /// Another bound from now on.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
+    /// An attempt is made; whether further ones are to stop from now on.
+    pub fn attempt(&mut self, now: Duration, further: bool) -> bool {
+        if further { &mut self.further } else { &mut self.first }.add(now, 1.0);
+        self.is_raging(now)
+    }
+
+    /// Whether no cluster may make further attempts.
+    pub fn is_raging(&mut self, now: Duration) -> bool {
+        let allowed = self.bound.share * self.first.lately(now) + self.bound.per_s * OVER;
+        let further = self.further.lately(now);
+        self.raging = further > if self.raging { allowed * CALM } else { allowed };
+        self.raging
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn further_attempts_stop_at_their_share_and_go_on_once_it_is_calm() {
+        let mut storm = Storm::new(Bound { share: 0.2, per_s: 1.0 });
+        let (mut made, mut first) = (0, 0);
+        for i in 0..10_000u64 {
+            let now = Duration::from_millis(10 * i);
+            first += 1;
+            storm.attempt(now, false);
+            // Everything fails and would be sent again.
+            if !storm.is_raging(now) {
+                made += 1;
+                storm.attempt(now, true);
+            }
+        }
+        let share = f64::from(made) / f64::from(first);
+        assert!((0.1..0.25).contains(&share), "{share}");
+        assert!(!storm.is_raging(Duration::from_secs(1000)));
+    }
+
+    #[test]
+    fn with_little_traffic_a_few_are_always_allowed() {
+        let mut storm = Storm::new(Bound { share: 0.2, per_s: 10.0 });
+        assert!((0..5u64).all(|i| !storm.attempt(Duration::from_millis(400 * i), true)));
+    }
+}
