--- a/crates/marlwinch/src/backends.rs
+++ b/crates/marlwinch/src/backends.rs
@@ -117,6 +117,10 @@
         Sockets { open: Rc::default(), most, pools: RefCell::default() }
     }
 
+    fn has_room(&self) -> bool {
+        self.open.get() < self.most
+    }
+
     /// Makes room by closing the connection that has stood idle for longest.
     fn evict(&self) -> bool {
         let all: Vec<_> = self.pools.borrow().iter().filter_map(Weak::upgrade).collect();
@@ -302,12 +306,13 @@
             loop {
                 let (mut connection, reused) = match self.idle(server) {
                     Ok(connection) => (connection, true),
-                    // To wait for a connection that rests costs less than to open one.
-                    Err(Some(rested)) => {
+                    // To wait for a connection that rests costs the platform's boxes less than to open one. Of others that
+                    // is not known; there as many more are open as rest at a time, unless sockets are short.
+                    Err(Some(rested)) if self.passed == Passed::Ok || !self.sockets.has_room() => {
                         sleep_until(rested).await;
                         continue;
                     }
-                    Err(None) => match self.connect(server, patience.connect).await {
+                    Err(_) => match self.connect(server, patience.connect).await {
                         Ok(connection) => (connection, false),
                         Err(outcome) => return Ended::bare(outcome),
                     },
