--- /dev/null
+++ b/crates/larchspread/tests/rooms.rs
@@ -0,0 +1,145 @@
+//! What the module does with what it is told of servers' capacity, and what it does without when it is told to. `World`
+//! checks the four rules on the side.
+
+mod world;
+
+use larchspread::*;
+use std::collections::BTreeMap;
+use world::*;
+
+fn told() -> Settings {
+    let mut settings = Settings { crowding: Crowding::Told, ..settings() };
+    settings.limits.parallel_attempts = false;
+    // As in a node from a file: a late answer is one as well.
+    settings.classes.iter_mut().for_each(|class| class.late_worth = 1.0);
+    settings
+}
+
+fn room(world: &mut World, server: u64, most: u32, share: f64) {
+    world.tell(Event::Room { server: ServerId(server), most, share });
+}
+
+/// Where the next request goes, if anywhere.
+fn next(world: &mut World) -> Option<u64> {
+    let (_, actions) = world.request(0);
+    actions.iter().find_map(|action| match action {
+        Action::Send { server, .. } => Some(server.0),
+        _ => None,
+    })
+}
+
+/// So many requests that stay out; how many each server got.
+fn spread(world: &mut World, count: usize) -> BTreeMap<u64, usize> {
+    let mut got = BTreeMap::new();
+    for _ in 0..count {
+        *got.entry(next(world).expect("it is sent")).or_default() += 1;
+    }
+    got
+}
+
+#[test]
+fn many_are_sent_at_once_from_the_start_where_rooms_are_told() {
+    let mut world = World::with_servers(told(), 4);
+    (0..4).for_each(|server| room(&mut world, server, 25, 1.0));
+    let got = spread(&mut world, 100);
+    assert!(got.values().all(|n| *n == 25), "{got:?}");
+    // One more than there is room for has been let in by whoever tells of rooms, and goes to somebody.
+    assert!(next(&mut world).is_some());
+    // Without a word about rooms the same module holds back: levels that were never tried are not used.
+    let mut learns = World::with_servers(settings(), 4);
+    let sent = (0..100).filter(|_| next(&mut learns).is_some()).count();
+    assert!(sent < 20, "{sent}");
+}
+
+#[test]
+fn a_server_without_room_is_passed_over_while_another_has_some() {
+    let mut world = World::with_servers(told(), 3);
+    for (server, most) in [(0, 1), (1, 2), (2, 50)] {
+        room(&mut world, server, most, 1.0);
+    }
+    let got = spread(&mut world, 40);
+    assert!(got[&0] <= 1 && got[&1] <= 2, "{got:?}");
+    room(&mut world, 0, 50, 1.0);
+    let got = spread(&mut world, 20);
+    assert!(got[&0] >= 15, "more room holds from the next pick on: {got:?}");
+}
+
+#[test]
+fn requests_are_spread_by_share_idle_or_busy() {
+    for shares in [[1.0, 1.0, 1.0], [0.3, 0.9, 1.8], [0.003, 0.003, 2.994]] {
+        let mut world = World::with_servers(told(), 3);
+        (0..3).for_each(|server| room(&mut world, server, 10_000, shares[server as usize]));
+        // One at a time, so that all are idle at each pick.
+        let mut got = [0.0; 3];
+        for _ in 0..3000 {
+            let (id, actions) = world.request(0);
+            let sent = actions
+                .iter()
+                .find_map(|a| if let Action::Send { server, .. } = a { Some(server.0) } else { None });
+            got[sent.expect("it is sent") as usize] += 1.0;
+            world.end(id, 0, Outcome::Served, None);
+        }
+        for (got, share) in got.iter().zip(shares) {
+            assert!((got / 1000.0 - share).abs() < 0.1, "idle: {got} of 3,000 for {share}");
+        }
+        let busy = spread(&mut world, 3000);
+        for (server, share) in shares.iter().enumerate() {
+            let got = busy.get(&(server as u64)).copied().unwrap_or(0) as f64;
+            assert!((got / 1000.0 - share).abs() < 0.1, "busy: {got} of 3,000 for {share}");
+        }
+    }
+}
+
+#[test]
+fn what_is_told_that_makes_no_sense_does_no_harm() {
+    let mut world = World::with_servers(told(), 3);
+    for share in [f64::NAN, f64::INFINITY, -1.0, 0.0] {
+        room(&mut world, 0, 0, share);
+        room(&mut world, 77, 5, share); // nobody knows that one
+        assert!(next(&mut world).is_some(), "{share}");
+    }
+}
+
+#[test]
+fn rooms_outlive_a_list_and_a_restart_of_the_server() {
+    let mut world = World::with_servers(told(), 2);
+    room(&mut world, 0, 1, 1.0);
+    room(&mut world, 1, 100, 1.0);
+    let started = Some(world.now);
+    world.list(ListKind::Full, vec![entry(0), ServerEntry { started, ..entry(1) }]);
+    let got = spread(&mut world, 10);
+    assert!(got.get(&0).is_none_or(|n| *n <= 1), "{got:?}");
+}
+
+#[test]
+fn without_repeats_what_never_ran_is_sent_again_and_what_may_have_run_is_not() {
+    let mut world = World::with_servers(told(), 6);
+    world.tell(Event::Restrain(Restraint { no_repeats: true, ..Restraint::default() }));
+    let (id, _) = world.request(0);
+    let again = world.end(id, 0, Outcome::ConnectFailed, None);
+    assert!(matches!(again[..], [Action::Send { .. }, ..]), "{again:?}");
+    let ended = world.end(id, 1, Outcome::Error, None);
+    assert!(ended.iter().any(|a| matches!(a, Action::Refuse { .. })), "answered at once: {ended:?}");
+    world.tell(Event::Restrain(Restraint { no_further: true, ..Restraint::default() }));
+    let (id, _) = world.request(0);
+    let ended = world.end(id, 0, Outcome::ConnectFailed, None);
+    assert!(ended.iter().any(|a| matches!(a, Action::Refuse { .. })), "{ended:?}");
+    world.tell(Event::Restrain(Restraint::default()));
+    let (id, _) = world.request(0);
+    let again = world.end(id, 0, Outcome::Error, None);
+    assert!(matches!(again[..], [Action::Send { .. }, ..]), "and they are back: {again:?}");
+}
+
+#[test]
+fn without_copies_a_slow_attempt_stays_alone() {
+    for (no_copies, attempts) in [(false, 2), (true, 1)] {
+        let mut settings = told();
+        let copies = Copies::After { after: ms(50), most: 1, share: 1.0 };
+        settings.classes.iter_mut().for_each(|class| class.terms.copies = copies);
+        let mut world = World::with_servers(settings, 4);
+        world.tell(Event::Restrain(Restraint { no_copies, ..Restraint::default() }));
+        world.request(0);
+        world.pass(ms(100));
+        assert_eq!(world.out().len(), attempts, "no copies: {no_copies}");
+    }
+}
--- a/crates/marlwinch/src/admit.rs
+++ b/crates/marlwinch/src/admit.rs
@@ -66,7 +66,7 @@
     ) -> Result<Option<Place>, (StatusCode, Duration)> {
         let now = self.0.started.elapsed();
         let verdict = self.0.admission.borrow_mut().arrive(now, limit, tenant, id);
-        let until = match verdict {
+        let (until, retry_after) = match verdict {
             Verdict::Go => return Ok(Some(Place { state: self.0.clone(), id })),
             Verdict::Refuse { why: Why::Rate, retry_after } => {
                 return Err((StatusCode::TOO_MANY_REQUESTS, retry_after));
@@ -74,7 +74,7 @@
             Verdict::Refuse { why: Why::Full, retry_after } => {
                 return Err((StatusCode::SERVICE_UNAVAILABLE, retry_after));
             }
-            Verdict::Wait { until } => until,
+            Verdict::Wait { until, retry_after } => (until, retry_after),
         };
         let (sender, woken) = oneshot::channel();
         self.0.waiting.borrow_mut().insert(id, sender);
@@ -85,8 +85,7 @@
             Ok(()) = woken => Ok(Some(place)),
             () = sleep_until(self.0.started + until) => {
                 drop(place);
-                // It had its time in the queue; the next try finds a shorter one or none.
-                Err((StatusCode::SERVICE_UNAVAILABLE, Duration::from_secs(1)))
+                Err((StatusCode::SERVICE_UNAVAILABLE, retry_after))
             }
         }
     }
--- a/crates/operator/src/admission.rs
+++ b/crates/operator/src/admission.rs
@@ -39,6 +39,8 @@
     Wait {
         /// Then it is refused.
         until: Duration,
+        /// What the client is told then.
+        retry_after: Duration,
     },
     /// It is refused; nothing is owed.
     Refuse {
@@ -170,7 +172,7 @@
                 let until = now + queue.time;
                 slot.waiting.push_back((id, until));
                 self.counted.insert(id, at);
-                Verdict::Wait { until }
+                Verdict::Wait { until, retry_after: slot.limit.retry_after }
             }
             _ => Verdict::Refuse { why: Why::Full, retry_after: slot.limit.retry_after },
         }
@@ -216,7 +218,10 @@
         let mut admission = Admission::new(&[limit(Some(2), Some((2, 100)), None)], &[]);
         let mut arrive = |id| admission.arrive(ms(id), 0, None, id);
         assert_eq!([arrive(1), arrive(2)], [Verdict::Go, Verdict::Go]);
-        assert_eq!([arrive(3), arrive(4)], [3, 4].map(|at| Verdict::Wait { until: ms(at + 100) }));
+        assert_eq!(
+            [arrive(3), arrive(4)],
+            [3, 4].map(|at| Verdict::Wait { until: ms(at + 100), retry_after: ms(500) })
+        );
         assert_eq!(arrive(5), Verdict::Refuse { why: Why::Full, retry_after: ms(500) });
         assert_eq!(admission.done(1), Some(3));
         assert_eq!(admission.done(4), None, "one that gives up makes no room in hand");
--- /dev/null
+++ b/crates/surge/examples/goodput.rs
@@ -0,0 +1,136 @@
+//! Draws goodput and p99 against offered load, for a fixed limit, no limit, and limits that adapt, and prints the figures.
+//!
+//! `cargo run --release -p surge --example goodput -- docs/figures`
+
+use larchspread::{Class, Copies, Crowding, Repeat, RetryOn, Settings};
+use overload::boxes::Limiting;
+use overload::gate::{ClassTerms, TenantTerms};
+use overload::limit::Bounds;
+use plotters::prelude::*;
+use std::error::Error;
+use std::path::PathBuf;
+use std::time::Duration;
+use surge::tally::jain;
+use surge::{Again, BoxSpec, Service, Stream, Surge, Tally, play};
+
+/// Four boxes of four cores at 20 ms: 800 a second. With more than four waiting for each core they take twice as long.
+const ABLE: f64 = 800.0;
+const LOADS: [f64; 10] = [0.5, 0.8, 0.95, 1.1, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0];
+const SECONDS: u32 = 40;
+const SETTLED: usize = 15;
+
+fn surge(load: f64, bounds: Option<Bounds>, tenants: usize) -> Surge {
+    let mut settings = Settings { crowding: Crowding::Told, ..Settings::default() };
+    settings.limits.cancel = true;
+    let terms = larchspread::Terms {
+        max_attempts: Some(3),
+        retry_on: RetryOn { never_ran: true, error: false, reset: false, timed_out: false },
+        copies: Copies::Never,
+        budget: Some(larchspread::Budget { share: 0.2, per_s: 1.0 }),
+        ..larchspread::Terms::default()
+    };
+    let class = Class { repeat: Repeat::Safe, late_worth: 1.0, terms, ..settings.classes[0].clone() };
+    settings.classes = vec![class];
+    let spec = BoxSpec { cores: 4, speed: 1.0, queue: 1000, choke_at: 4.0, choke: 2.0 };
+    let stream = |tenant: usize| Stream {
+        class: 0,
+        tenant,
+        node: 0,
+        // Each asks for more than the one before; together for the load.
+        rate: ABLE * load * 2.0 * (tenant + 1) as f64 / (tenants * (tenants + 1)) as f64,
+        from: 0.0,
+        to: f64::from(SECONDS),
+        time: Duration::from_secs(1),
+        service: Service::Exponential(0.02),
+        again: Again::Never,
+    };
+    let class = ClassTerms { name: "c".into(), worth: 1.0, retry_after: Duration::from_secs(1), wait: None };
+    let tenant = |n| TenantTerms { name: format!("t{n}"), share: None, allowance: 0.0 };
+    Surge {
+        settings,
+        terms: Some(overload::Terms {
+            limiting: Limiting { bounds, slow_start: None },
+            classes: vec![class],
+            tenants: (0..tenants).map(tenant).collect(),
+            steps: Vec::new(),
+        }),
+        boxes: vec![(spec, 1.0, 0); 4],
+        streams: (0..tenants).map(stream).collect(),
+        befalls: Vec::new(),
+        seconds: SECONDS,
+        seed: 11,
+    }
+}
+
+fn p99(tally: &Tally) -> f64 {
+    tally.streams[0].latency.value_at_quantile(0.99) as f64 / 1000.0
+}
+
+type Line = (&'static str, Vec<(f64, f64, f64)>);
+
+fn draw(
+    path: &std::path::Path,
+    lines: &[Line],
+    what: &str,
+    of: fn(&(f64, f64, f64)) -> f64,
+    most: f64,
+) -> Result<(), Box<dyn Error>> {
+    let root = SVGBackend::new(path, (760, 420)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(12)
+        .x_label_area_size(42)
+        .y_label_area_size(56)
+        .build_cartesian_2d((0.5f64..20.0).log_scale(), 0.0..most)?;
+    chart
+        .configure_mesh()
+        .x_desc("offered load, in multiples of what the boxes can do")
+        .y_desc(what)
+        .draw()?;
+    for ((name, points), color) in lines.iter().zip([&RED, &BLUE, &GREEN, &MAGENTA]) {
+        let points: Vec<_> = points.iter().map(|point| (point.0, of(point))).collect();
+        chart
+            .draw_series(LineSeries::new(points.clone(), color.stroke_width(2)))?
+            .label(*name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2)));
+        chart.draw_series(points.into_iter().map(|point| Circle::new(point, 3, color.filled())))?;
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "docs/figures".into()));
+    std::fs::create_dir_all(&folder)?;
+    let fixed = |most: f64| Some(Bounds { start: most, least: 1.0, most, adapts: false, nodes: 1.0 });
+    let adaptive = Some(Bounds { start: 16.0, least: 2.0, most: 10_000.0, adapts: true, nodes: 1.0 });
+    let ways =
+        [("no limit", None), ("fixed 4", fixed(4.0)), ("fixed 50", fixed(50.0)), ("adaptive", adaptive)];
+    let mut lines: Vec<Line> = Vec::new();
+    println!("| load | {} |", ways.map(|(name, _)| format!("{name}: served/s, p99 ms")).join(" | "));
+    for (name, bounds) in ways {
+        let point = |load: f64| {
+            let tally = play(&surge(load, bounds, 1));
+            assert!(tally.broken.is_empty(), "{:?}", tally.broken.first());
+            (load, tally.goodput(SETTLED, SECONDS as usize), p99(&tally))
+        };
+        lines.push((name, LOADS.map(point).to_vec()));
+    }
+    for (at, load) in LOADS.iter().enumerate() {
+        let cells: Vec<_> =
+            lines.iter().map(|(_, points)| format!("{:.0}, {:.0}", points[at].1, points[at].2)).collect();
+        println!("| {load} | {} |", cells.join(" | "));
+    }
+    draw(&folder.join("goodput.svg"), &lines, "served a second", |point| point.1, 900.0)?;
+    draw(&folder.join("p99.svg"), &lines, "p99 of what is served, ms", |point| point.2, 1100.0)?;
+    for load in [2.0, 10.0] {
+        let tally = play(&surge(load, adaptive, 20));
+        let parts: Vec<_> = tally.streams.iter().map(|s| s.work).collect();
+        println!(
+            "Jain's index over 20 tenants, the largest asking 20 times as much as the smallest, at {load} x: {:.4}",
+            jain(&parts)
+        );
+    }
+    Ok(())
+}
