--- a/crates/overload/benches/gate.rs
+++ b/crates/overload/benches/gate.rs
@@ -14,7 +14,7 @@
     let tenant = |n: usize| TenantTerms {
         name: format!("t{n}"),
         share: None,
-        allowance: f64::from(u8::from(n % 2 == 0)),
+        allowance: f64::from(u8::from(n.is_multiple_of(2))),
     };
     let bounds = Bounds { start: room, least: 1.0, most: room, adapts: false, nodes: 1.0 };
     let class = |name: &str, worth| ClassTerms {
