--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`limit`] learns how many requests a box may hold; [`boxes`] keeps one for each box of a cluster, with its speed;
 //! [`fair`] is the queue that serves tenants by share and requests by worth; [`gate`] joins these; [`brownout`] says what
 //! an overloaded cluster does without; [`repeats`] knows who asks again; [`storm`] bounds further attempts over all
-//! clusters; [`spread`] keeps refused clients from coming back together. [`surge`] plays a stated surge through all of it.
+//! clusters; [`spread`] keeps refused clients from coming back together. The package `surge` plays
+//! stated surges through all of it.
 //!
 //! Nothing here opens a socket, reads a clock or draws random numbers: the same calls give the same answers.
 #![forbid(unsafe_code)]
