--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -299,7 +299,8 @@
         let level = |id: &ServerId| crowd(id).round() as usize;
         match self.settings.crowding {
             Crowding::Learnt => among.retain(|id| level(id) == 0 || self.in_time.share(level(id)) >= 0.5),
-            // Whoever tells of rooms has let it in: it goes where there is room, and without any to the least.
+            // Whoever tells of rooms has let it in: it goes where there is room, and without any to the
+            // least crowded.
             Crowding::Told if among.iter().any(|id| self.fleet[id].has_room()) => {
                 among.retain(|id| self.fleet[id].has_room())
             }
@@ -368,9 +369,8 @@
             return heard;
         }
         let told = self.settings.crowding == Crowding::Told;
-        let roomy = |id: &ServerId| self.fleet[id].has_room();
-        let full =
-            told && !self.fleet.ready[..most].iter().any(|id| permitted(id) && healthy(id) && roomy(id));
+        let usable = |id: &ServerId| permitted(id) && healthy(id) && self.fleet[id].has_room();
+        let full = told && !self.fleet.ready[..most].iter().any(usable);
         let most = if full { self.fleet.ready.len() } else { most };
         let mut looked_at = self.fleet.ready[..most].to_vec();
         looked_at.retain(permitted);
