--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -276,8 +276,8 @@
         self.fleet.any_by_share(&ties)
     }
 
-    /// Own sends since the last idle sign, which lapses where other nodes send as well and probes are cheap; for
-    /// servers that are not alike, by what each can do beside the mean.
+    /// Own sends since the last idle sign, which lapses where other nodes send as well and probes are cheap;
+    /// for servers that are not alike, by what each can do beside the mean.
     fn estimate(&self, server: &Server, cap: u32) -> f64 {
         let lapsed = self.lapses() && !server.idle_at.is_some_and(|at| self.fresh(at));
         f64::from(if lapsed { cap } else { server.count }) / server.share()
