Open another connection beside resting ones only to a box that has four in use

Need: to open one whenever one rests made a lone client's next request go to a new connection each time; seven tests of the file's node, which script single connections, showed it.

Change: a pool counts its connections in use; with fewer than four the node waits for the one that rests, as before.

--- a/crates/marlwinch/src/backends.rs
+++ b/crates/marlwinch/src/backends.rs
@@ -37,6 +37,8 @@
 /// How long a connection rests after an answer. What a backend sends right behind it has come by then and spoils the
 /// connection; later it could pass for the next answer.
 const REST: Duration = Duration::from_millis(3);
+/// A box with so many connections in use is asked so often that waiting for one to have rested is felt.
+const BUSY: usize = 4;
 
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
@@ -156,6 +158,8 @@
     in_service: bool,
     /// The most lately used is last, and used first: the others grow old and are dropped.
     idle: Vec<(Connection, Instant)>,
+    /// Connections that are open, in use ones among them.
+    open: Rc<Cell<usize>>,
 }
 
 /// An open connection. Dropping it closes it.
@@ -164,12 +168,19 @@
     progress: Rc<Progress>,
     address: SocketAddr,
     _driver: Driver,
-    _open: OpenOne,
+    _open: (OpenOne, OpenOne),
 }
 
 /// Counts a connection as open for as long as it lives.
 struct OpenOne(Rc<Cell<usize>>);
 
+impl OpenOne {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        OpenOne(count.clone())
+    }
+}
+
 impl Drop for OpenOne {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
@@ -230,6 +241,7 @@
                 address: *address,
                 in_service: true,
                 idle: Vec::new(),
+                open: Rc::default(),
             });
             pool.in_service = entry.state == ServerState::Ready;
             if !pool.in_service || pool.address != *address {
@@ -306,9 +318,11 @@
             loop {
                 let (mut connection, reused) = match self.idle(server) {
                     Ok(connection) => (connection, true),
-                    // To wait for a connection that rests costs the platform's boxes less than to open one. Of others that
-                    // is not known; there as many more are open as rest at a time, unless sockets are short.
-                    Err(Some(rested)) if self.passed == Passed::Ok || !self.sockets.has_room() => {
+                    // To wait for a connection that rests costs less than to open one, as the platform's boxes are. A box
+                    // that nobody knows and that is busy gets as many more as rest at a time, unless sockets are short.
+                    Err(Some((rested, busy)))
+                        if self.passed == Passed::Ok || busy < BUSY || !self.sockets.has_room() =>
+                    {
                         sleep_until(rested).await;
                         continue;
                     }
@@ -416,8 +430,9 @@
         Ended { outcome, report, reply }
     }
 
-    /// An idle connection that has rested; else when the first will have, if there is one that rests.
-    fn idle(&self, server: ServerId) -> Result<Connection, Option<Instant>> {
+    /// An idle connection that has rested; else when the first will have, if there is one that rests, and how many are in
+    /// use.
+    fn idle(&self, server: ServerId) -> Result<Connection, Option<(Instant, usize)>> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&server).ok_or(None)?;
         pool.idle.retain(|(connection, since)| {
@@ -428,7 +443,11 @@
         };
         match pool.idle.iter().rposition(rested) {
             Some(at) => Ok(pool.idle.remove(at).0),
-            None => Err(pool.idle.iter().map(|(_, since)| *since + REST).find(|at| *at > Instant::now())),
+            None => {
+                let busy = pool.open.get().saturating_sub(pool.idle.len());
+                let mut rested = pool.idle.iter().map(|(_, since)| *since + REST);
+                Err(rested.find(|at| *at > Instant::now()).map(|at| (at, busy)))
+            }
         }
     }
 
@@ -443,13 +462,13 @@
 
     async fn connect(&self, server: ServerId, patience: Duration) -> Result<Connection, Outcome> {
         // An id that the list no longer has was never sent to.
-        let address = self.pools.borrow().get(&server).map(|pool| pool.address).ok_or(Outcome::NotSent)?;
+        let pool = self.pools.borrow().get(&server).map(|pool| (pool.address, pool.open.clone()));
+        let (address, of_pool) = pool.ok_or(Outcome::NotSent)?;
         let open = &self.sockets.open;
         if open.get() >= self.sockets.most && !self.sockets.evict() {
             return Err(Outcome::NotSent);
         }
-        open.set(open.get() + 1);
-        let open = OpenOne(open.clone());
+        let open = (OpenOne::new(open), OpenOne::new(&of_pool));
         self.counters.opened.set(self.counters.opened.get() + 1);
         let connected = timeout(patience, async {
             let stream = TcpStream::connect(address).await?;
