--- a/crates/marlwinch/src/gated.rs
+++ b/crates/marlwinch/src/gated.rs
@@ -53,7 +53,10 @@
                 self.waiting.insert(RequestId(id), arrival);
                 None
             }
-            Verdict::Refuse(refusal) => Some(refuse(arrival, refusal)),
+            Verdict::Refuse(refusal) => {
+                self.storm.borrow_mut().refused(now);
+                Some(refuse(arrival, refusal))
+            }
         }
     }
 
--- a/crates/overload/src/boxes.rs
+++ b/crates/overload/src/boxes.rs
@@ -266,11 +266,9 @@
         for (id, one) in &self.boxes {
             let weight = one.line.weight / mean;
             let kind = *kinds.entry(one.line.kind).or_insert_with(|| of_kind(one.line.kind));
-            let (speed, sure) = match speed(one) {
-                Some((speed, sure)) => (speed.ln() * sure + kind.unwrap_or(1.0).ln() * (1.0 - sure), 1.0),
-                None => (kind.unwrap_or(1.0).ln(), 1.0),
-            };
-            let speed = (speed * sure).exp();
+            let of_kind = kind.unwrap_or(1.0).ln();
+            let speed = speed(one).map_or(of_kind, |(own, sure)| own.ln() * sure + of_kind * (1.0 - sure));
+            let speed = speed.exp();
             // A weight is a box's speed or how many it serves at once: both are between 1 and the weight.
             let (low, high) = (weight.min(1.0), weight.max(1.0));
             let learnt = if speed > high * (1.0 + TOLD) {
--- a/crates/overload/src/storm.rs
+++ b/crates/overload/src/storm.rs
@@ -9,6 +9,9 @@
 /// It is over once further attempts are down to this part of what is allowed, so that it does not flicker.
 const CALM: f64 = 0.7;
 
+/// What a refusal counts for, beside a further attempt: of ten refused clients one asks again at once.
+const REFUSED: f64 = 0.1;
+
 /// How many further attempts a node may make.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
@@ -44,6 +47,11 @@
         self.is_raging(now)
     }
 
+    /// A request is refused: its client will ask again, so that there is less left for the node's own attempts.
+    pub fn refused(&mut self, now: Duration) {
+        self.further.add(now, REFUSED);
+    }
+
     /// Whether no cluster may make further attempts.
     pub fn is_raging(&mut self, now: Duration) -> bool {
         let allowed = self.bound.share * self.first.lately(now) + self.bound.per_s * OVER;
@@ -76,6 +84,23 @@
         assert!(!storm.is_raging(Duration::from_secs(1000)));
     }
 
+    #[test]
+    fn where_most_is_refused_nothing_is_left_for_further_attempts() {
+        for (refused, raging) in [(1, false), (5, true)] {
+            let mut storm = Storm::new(Bound { share: 0.2, per_s: 1.0 });
+            for i in 0..2000u64 {
+                let now = Duration::from_millis(10 * i);
+                storm.attempt(now, false);
+                (0..refused).for_each(|_| storm.refused(now));
+            }
+            assert_eq!(
+                storm.is_raging(Duration::from_secs(20)),
+                raging,
+                "{refused} refused for each that is sent"
+            );
+        }
+    }
+
     #[test]
     fn with_little_traffic_a_few_are_always_allowed() {
         let mut storm = Storm::new(Bound { share: 0.2, per_s: 10.0 });
