Keep one function for what is left of a rate

Need: a public function only called a private one of the same meaning. Change: one remains. Measured: cargo test -p overload: 35 tests pass, lints clean.

--- a/crates/overload/src/rate.rs
+++ b/crates/overload/src/rate.rs
@@ -20,15 +20,11 @@
     /// So much has come.
     pub fn add(&mut self, now: Duration, amount: f64) {
         self.since.get_or_insert(now);
-        (self.sum, self.at) = (self.left(now) + amount, now.max(self.at));
+        (self.sum, self.at) = (self.lately(now) + amount, now.max(self.at));
     }
 
     /// What is left of all that has come.
     pub fn lately(&self, now: Duration) -> f64 {
-        self.left(now)
-    }
-
-    fn left(&self, now: Duration) -> f64 {
         self.sum * (-now.saturating_sub(self.at).as_secs_f64() / self.over).exp()
     }
 
@@ -36,6 +32,6 @@
     pub fn per_s(&self, now: Duration) -> f64 {
         let Some(since) = self.since else { return 0.0 };
         let seen = 1.0 - (-now.saturating_sub(since).as_secs_f64().max(0.05) / self.over).exp();
-        self.left(now) / (self.over * seen)
+        self.lately(now) / (self.over * seen)
     }
 }
