Send nothing on for a client that has left, asked again at each attempt's first byte

Seen: a client that sends bytes behind its request and leaves is not noticed until its answer is due. Where attempts may not be called off (Cancel false), what waited for its connection was written when that came up, whoever had left.

Ruled out: the node's own queue and the order of its events (the request of a client that left with nothing sent ahead is given up at once); the system (the end of the connection is there, RDHUP, the moment it comes).

Cause: hyper's server reads nothing while an answer is pending once its buffer holds a byte of what follows, and so never meets the end behind it (its connection's mid-message look for the end returns early). In the node, `send` spawns an attempt that from then on only its own deadline kept from writing (Progress::due_by): neither the answer given meanwhile, nor the client's leaving, nor a drain told during the connect.

Change: the client's socket is shared with a watcher (wire/shared.rs), which sees the end without reading, and reads ahead within the memory for what is in hand where the system's buffer hides it. An attempt carries a permit (boxes/permit.rs), asked before its connection is used and at its first byte: the answer is still owed (a guard, Owed, lets go of that), the box still serves at this address and is the process that was picked, the time is not over. A connection that comes up too late for its request is kept for the next. A connection with unread bytes is not closed between requests: these are answered as the last there. After its last answer a client is waited for up to 250 ms, lest unread bytes break the connection under the answer.

--- a/crates/marlwinch/src/boxes/backends.rs
+++ b/crates/marlwinch/src/boxes/backends.rs
@@ -2,6 +2,7 @@
 
 use crate::boxes::driver::Driver;
 use crate::boxes::payload::{Ended, Patience, Payload, Reply, ReplyBody};
+use crate::boxes::permit::{Permit, Serving, Wanted};
 use crate::boxes::pool::{Connection, Counters, OpenOne, Pool, Pools, Sockets, keep};
 use crate::boxes::reading::{broke_off, framed, load_report};
 use crate::boxes::watched::{Progress, Watched};
@@ -124,7 +125,7 @@
     /// Keeps a stream in mind, which may come from a box that drains by now.
     fn open_stream(&self, pool: &mut Pool, end: &StreamEnd) {
         pool.streams.push(end.clone());
-        if !pool.in_service {
+        if !pool.serving.holds() {
             self.end_streams(pool);
         }
     }
@@ -162,18 +163,26 @@
             }
             let pool = pools.entry(entry.id).or_insert_with(|| Pool {
                 address: *address,
-                in_service: true,
+                serving: Serving::new(true),
+                started: entry.started,
                 streams: Vec::new(),
                 idle: Vec::new(),
                 open: Rc::default(),
             });
             // Told again of a drain, its streams keep the end that they have: `by` never moves it back.
-            pool.in_service = entry.state == ServerState::Ready;
-            if !pool.in_service || pool.address != *address {
+            let moved = pool.address != *address || pool.started != entry.started;
+            if moved {
+                // What was picked for the process that was there is not for the one that is there now, and connections to
+                // that one are to nobody.
+                pool.serving.set(false);
+                pool.serving = Serving::new(true);
+            }
+            pool.serving.set(entry.state == ServerState::Ready);
+            if moved || !pool.serving.holds() {
                 pool.idle.clear();
                 self.end_streams(pool);
             }
-            pool.address = *address;
+            (pool.address, pool.started) = (*address, entry.started);
         }
     }
 
@@ -220,7 +229,8 @@
             upload: payload.upload.as_ref(),
             upgrade: payload.upgrade,
         };
-        self.exchange(server, request, expects, deadline, patience, payload.tries.as_ref()).await
+        let wanted = payload.wanted.clone();
+        self.exchange(server, request, expects, (deadline, wanted), patience, payload.tries.as_ref()).await
     }
 
     /// Asks a backend for its load. The time for a connection is also that for the answer.
@@ -232,8 +242,8 @@
             request
         };
         let deadline = Instant::now() + self.probe_timeout.get();
-        let mut ended =
-            self.exchange(server, request, Expects::default(), deadline, self.patience.get(), None).await;
+        let (until, patience) = ((deadline, Wanted::default()), self.patience.get());
+        let mut ended = self.exchange(server, request, Expects::default(), until, patience, None).await;
         if let (None, Some(Reply { body: ReplyBody::Held(body), .. })) = (&ended.report, &ended.reply) {
             ended.report = self.report(body);
         }
@@ -245,10 +255,14 @@
         server: ServerId,
         request: impl Fn() -> Request<Outgoing>,
         expects: Expects<'_>,
-        deadline: Instant,
+        (deadline, wanted): (Instant, Wanted),
         patience: Patience,
         tries: Option<&Rc<Cell<u64>>>,
     ) -> Ended {
+        let serving = self.pools.borrow().get(&server).map(|pool| pool.serving.clone());
+        // An id that the list no longer has was never sent to.
+        let Some(serving) = serving else { return Ended::bare(Outcome::NotSent) };
+        let permit = Permit { not_after: deadline, wanted, serving };
         // What has become of the request stays known when the time is up and the rest is dropped.
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::default();
         let picked = self.pauses.count();
@@ -256,7 +270,7 @@
             loop {
                 // What was picked before a pause was picked by old news, and nothing of it has gone out yet. A timer that is
                 // due as well is not always seen first.
-                if self.pauses.count() != picked || Instant::now() >= deadline {
+                if self.pauses.count() != picked || !permit.holds() {
                     return Ended::bare(Outcome::NotSent);
                 }
                 let kept = if expects.upgrade.is_some() { Err(None) } else { self.idle(server) };
@@ -275,12 +289,17 @@
                         Err(outcome) => return Ended::bare(outcome),
                     },
                 };
+                if !permit.holds() {
+                    // It came up, or was found, too late for this attempt: it is as good as new for another.
+                    keep(&self.pools, server, connection);
+                    return Ended::bare(Outcome::NotSent);
+                }
                 let watch = connection.progress.clone();
                 match expects.upload {
                     None => watch.begin(expects.body, tries.cloned()),
                     Some(upload) => watch.begin_upload(upload, tries.cloned()),
                 }
-                watch.due_by(deadline);
+                watch.allow(permit.clone());
                 *progress.borrow_mut() = Some(watch.clone());
                 let answer = tokio::select! {
                     biased;
@@ -470,7 +489,6 @@
         patience: Duration,
         may_switch: bool,
     ) -> Result<Connection, Outcome> {
-        // An id that the list no longer has was never sent to.
         let pool = self.pools.borrow().get(&server).map(|pool| (pool.address, pool.open.clone()));
         let (address, of_pool) = pool.ok_or(Outcome::NotSent)?;
         let open = &self.sockets.open;
--- a/crates/marlwinch/src/boxes/mod.rs
+++ b/crates/marlwinch/src/boxes/mod.rs
@@ -4,6 +4,7 @@
 pub mod backends;
 pub mod driver;
 pub mod payload;
+pub mod permit;
 pub mod pool;
 pub mod reading;
 pub mod watched;
--- a/crates/marlwinch/src/boxes/payload.rs
+++ b/crates/marlwinch/src/boxes/payload.rs
@@ -1,5 +1,6 @@
 //! What goes to a box, what comes back, and how an attempt ended. Data alone.
 
+use crate::boxes::permit::Wanted;
 use crate::wire::body::{Download, Upload};
 use crate::wire::tunnel::Tunnel;
 use bytes::Bytes;
@@ -26,6 +27,8 @@
     pub upgrade: Option<Duration>,
     /// Where its attempts are counted once they are written whole, if somebody asks for that.
     pub tries: Option<Rc<Cell<u64>>>,
+    /// Whether its answer is still owed: nothing is sent for it afterwards.
+    pub wanted: Wanted,
 }
 
 /// How long is waited for a backend that makes no progress.
--- a/crates/marlwinch/src/boxes/pool.rs
+++ b/crates/marlwinch/src/boxes/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to boxes that stand idle, and the sockets that all clusters share. Opens none.
 
 use crate::boxes::driver::Driver;
+use crate::boxes::permit::Serving;
 use crate::boxes::watched::Progress;
 use crate::wire::body::Outgoing;
 use crate::wire::stream_end::StreamEnd;
@@ -11,6 +12,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -56,8 +58,10 @@
 
 pub struct Pool {
     pub address: SocketAddr,
+    /// When the process there started, as told.
+    pub started: Option<Duration>,
     /// Whether new attempts may come, so that idle connections are worth keeping.
-    pub in_service: bool,
+    pub serving: Serving,
     /// Answers that are passed on as they come.
     pub streams: Vec<StreamEnd>,
     /// The most lately used is last, and used first: the others grow old and are dropped.
@@ -66,6 +70,13 @@
     pub open: Rc<Cell<usize>>,
 }
 
+impl Drop for Pool {
+    fn drop(&mut self) {
+        // The list has it no more: what was picked and has not begun does not begin.
+        self.serving.set(false);
+    }
+}
+
 /// An open connection. Dropping it closes it.
 pub struct Connection {
     /// Where it comes out of HTTP, if it may switch to another protocol. It is not used again.
@@ -99,7 +110,7 @@
         return;
     }
     let mut pools = pools.borrow_mut();
-    let pool = pools.get_mut(&server).filter(|p| p.in_service && p.address == connection.address);
+    let pool = pools.get_mut(&server).filter(|p| p.serving.holds() && p.address == connection.address);
     if let Some(pool) = pool {
         pool.idle.push((connection, Instant::now()));
     }
--- a/crates/marlwinch/src/boxes/watched.rs
+++ b/crates/marlwinch/src/boxes/watched.rs
@@ -1,6 +1,7 @@
 //! A backend's socket, watched for what hyper does not tell: how much of a request was written, whether the peer has
 //! left, and how far its answer has come.
 
+use crate::boxes::permit::Permit;
 use crate::telemetry::figures::count;
 use crate::turn::pause::Pauses;
 use crate::wire::body::Upload;
@@ -39,11 +40,11 @@
     /// The body, where it is passed on as it comes and its size is not known; and the last bytes written of it.
     upload: RefCell<Option<Rc<Upload>>>,
     tail: Cell<[u8; 5]>,
-    /// From when on its first byte must not go out any more.
-    not_after: Cell<Option<Instant>>,
+    /// What has to hold for its first byte to go out.
+    permit: RefCell<Option<Permit>>,
     /// Whether what was begun and is given up must not arrive later.
     breaks_off: Cell<bool>,
-    /// Whether its first byte was kept back, as its time was over or the process had not been running.
+    /// Whether its first byte was kept back, as its permit had lapsed or the process had not been running.
     held_back: Cell<bool>,
     /// Where it is counted that the last byte was written.
     tries: RefCell<Option<Rc<Cell<u64>>>>,
@@ -98,9 +99,9 @@
             }
         }
     }
-    /// Its first byte goes out before then or not at all.
-    pub fn due_by(&self, deadline: Instant) {
-        self.not_after.set(Some(deadline));
+    /// Its first byte goes out while this holds or not at all.
+    pub fn allow(&self, permit: Permit) {
+        self.permit.replace(Some(permit));
         self.held_back.set(false);
     }
     /// Whether its first byte was kept back here, so that neither the box nor its connection is to blame.
@@ -260,8 +261,8 @@
         if self.progress.is_untouched() {
             // The last look before the system has it. A process that is stopped between here and the write itself sends a
             // request that it picked up in time; nothing on this side of the socket can prevent that.
-            let late = self.progress.not_after.get().is_some_and(|at| at <= Instant::now());
-            if self.pauses.look() || late {
+            let lapsed = self.progress.permit.borrow().as_ref().is_some_and(|permit| !permit.holds());
+            if self.pauses.look() || lapsed {
                 self.progress.held_back.set(true);
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
             }
--- a/crates/marlwinch/src/clients/connections.rs
+++ b/crates/marlwinch/src/clients/connections.rs
@@ -35,6 +35,10 @@
     pub idle_since: Cell<Option<Instant>>,
     /// Whether it has ever had one.
     pub asked: Cell<bool>,
+    /// Whether the one that it has in hand has come whole, so that what comes now is sent ahead of its answer.
+    pub whole: Cell<bool>,
+    /// Told when it gets one, and when that is whole.
+    pub asks: Notify,
     pub heads: Rc<Heads>,
     /// Tells the task to close it once it is between requests, and since when it has been told.
     pub close: Notify,
@@ -48,6 +52,26 @@
 }
 
 impl State {
+    /// Of a connection that has just come.
+    pub fn new() -> Self {
+        State {
+            idle_since: Cell::new(Some(Instant::now())),
+            asked: Cell::new(false),
+            whole: Cell::new(false),
+            asks: Notify::new(),
+            heads: Rc::default(),
+            close: Notify::new(),
+            closing: Cell::new(None),
+            cut: Notify::new(),
+            stream: RefCell::default(),
+            tunnel: RefCell::default(),
+        }
+    }
+    /// The request in hand has come whole.
+    pub fn has_whole(&self) {
+        self.whole.set(true);
+        self.asks.notify_one();
+    }
     pub fn idle_for(&self, long: Duration) -> bool {
         self.idle_since.get().is_some_and(|since| since.elapsed() >= long)
     }
@@ -73,6 +97,8 @@
 impl Busy {
     pub fn new(state: &Rc<State>) -> Self {
         state.idle_since.set(None);
+        state.asked.set(true);
+        state.asks.notify_one();
         Busy(state.clone())
     }
 }
@@ -80,6 +106,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.stream.take();
+        self.0.whole.set(false);
         self.0.idle_since.set(Some(Instant::now()));
     }
 }
--- a/crates/marlwinch/src/clients/heads.rs
+++ b/crates/marlwinch/src/clients/heads.rs
@@ -1,6 +1,7 @@
 //! A client's socket, watched for what hyper does not tell: a head that says its length in two ways, and when a head
 //! began that is not over yet.
 
+use crate::wire::shared::Shared;
 use exchange::framing::{Ends, Fault, Place};
 use std::cell::Cell;
 use std::io;
@@ -8,7 +9,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// What a connection's heads have shown so far.
@@ -41,25 +41,18 @@
 
 /// A client's socket with its watcher.
 pub struct WatchedClient {
-    stream: TcpStream,
+    stream: Shared,
     place: Place,
     ends: Ends,
     heads: Rc<Heads>,
 }
 
 impl WatchedClient {
-    pub fn new(stream: TcpStream, heads: Rc<Heads>, ends: Ends) -> Self {
+    pub fn new(stream: Shared, heads: Rc<Heads>, ends: Ends) -> Self {
         WatchedClient { stream, place: Place::default(), ends, heads }
     }
 }
 
-impl WatchedClient {
-    /// The socket, once it is no longer HTTP that goes over it.
-    pub fn into_stream(self) -> TcpStream {
-        self.stream
-    }
-}
-
 impl AsyncRead for WatchedClient {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
--- a/crates/marlwinch/src/clients/request.rs
+++ b/crates/marlwinch/src/clients/request.rs
@@ -2,11 +2,13 @@
 //! it goes.
 
 use crate::boxes::payload::{Payload, Reply, ReplyBody};
+use crate::boxes::permit::Wanted;
+use crate::clients::connections::State;
 use crate::clients::front::{Bad, Front, Taken, refused};
 use crate::clients::serve::Clients;
 use crate::telemetry::exchanges::Exchange;
 use crate::telemetry::figures::{ClassFigures, count};
-use crate::turn::event::{Answer, Arrival, NodeEvent};
+use crate::turn::event::{Answer, Arrival, NodeEvent, Owed};
 use crate::wire::body::{Coming, Held, LARGEST_BODY, Outgoing, Part, Upload, time_for};
 use crate::wire::headers::{CORRELATION, IDEMPOTENCY_KEY};
 use bytes::Bytes;
@@ -28,9 +30,13 @@
 pub const KIB_AN_ANSWER: usize = LARGEST_BODY >> 10;
 
 /// The answer to a request, counted for its class if it got as far as having one.
-pub async fn counted(clients: &Rc<Clients>, request: Request<Incoming>) -> Result<Response<Outgoing>, Bad> {
+pub async fn counted(
+    clients: &Rc<Clients>,
+    request: Request<Incoming>,
+    connection: &State,
+) -> Result<Response<Outgoing>, Bad> {
     let mut figures = None;
-    let answer = answer(clients, request, &mut figures).await;
+    let answer = answer(clients, request, connection, &mut figures).await;
     if let Some(figures) = &figures {
         match answer.as_ref().map_or_else(Bad::status, Response::status) {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => count(&figures.shed),
@@ -44,6 +50,7 @@
 async fn answer(
     clients: &Rc<Clients>,
     request: Request<Incoming>,
+    connection: &State,
     figures: &mut Option<Rc<ClassFigures>>,
 ) -> Result<Response<Outgoing>, Bad> {
     let (head, body) = request.into_parts();
@@ -78,6 +85,9 @@
         ));
     };
     let held = read_body(&mut body, taken.replay).await?;
+    if matches!(held, Part::Whole(_)) {
+        connection.has_whole();
+    }
     // The client's time runs from the last byte, which may have come at any time of a pause that has just ended. What may
     // be repeated freely gets its whole time all the same: sent on too late it does no harm.
     let came = clients.pauses.came();
@@ -148,6 +158,7 @@
         .and_then(|_| fingerprint(&headers, made_up, (&head.method, &taken.target, taken.new.tenant), &body));
     let head_only = head.method == Method::HEAD;
     let (method, target, patience) = (head.method, taken.target, taken.patience);
+    let wanted = Wanted::default();
     let payload = Rc::new(Payload {
         method,
         target,
@@ -157,11 +168,13 @@
         patience,
         upgrade: taken.upgrade.map(|(_, idle)| idle),
         tries: Some(clients.figures.tries.clone()),
+        wanted: wanted.clone(),
     });
     let (sender, receiver) = oneshot::channel();
-    let mut present = Present { id, events: &taken.events, owed: true };
+    let answer = Owed::new(sender, wanted.clone());
+    let mut present = Present { id, events: &taken.events, wanted: wanted.clone(), owed: true };
     let (new, repeat) = (taken.new, taken.repeat);
-    let arrival = Arrival { new, at, payload, upload: within, print, repeat, answer: sender };
+    let arrival = Arrival { new, at, payload, upload: within, print, repeat, answer };
     let arrived = taken.events.send(NodeEvent::Arrived(arrival));
     let answer = receiver.await;
     present.owed = false;
@@ -255,12 +268,15 @@
 struct Present<'a> {
     id: RequestId,
     events: &'a mpsc::UnboundedSender<NodeEvent>,
+    wanted: Wanted,
     owed: bool,
 }
 
 impl Drop for Present<'_> {
     fn drop(&mut self) {
         if self.owed {
+            // At once: the node hears of it in its own turn, and what it has picked may be written before then.
+            self.wanted.let_go();
             let _ = self.events.send(NodeEvent::Gone(self.id));
         }
     }
--- a/crates/marlwinch/src/clients/serve.rs
+++ b/crates/marlwinch/src/clients/serve.rs
@@ -12,6 +12,7 @@
 use crate::telemetry::recorder::Recorder;
 use crate::turn::pause::Pauses;
 use crate::wire::body::Outgoing;
+use crate::wire::shared::Shared;
 use crate::wire::tunnel::{self};
 use exchange::framing::Ends;
 use hyper::body::Incoming;
@@ -27,7 +28,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{debug, info};
@@ -40,6 +41,14 @@
 const FAREWELL: Duration = Duration::from_millis(500);
 /// How long a connection may be without a request before it is closed, once the node ends.
 const LAST_CALL: Duration = Duration::from_millis(500);
+/// How long a client is waited for that has its last answer, until it closes. Guards that answer against a break.
+const LINGER: Duration = Duration::from_millis(250);
+
+/// How much is read at a time of what clients send ahead of their answers, and how many times.
+const PIECE_AHEAD: usize = 16 << 10;
+const MOST_AHEAD: usize = 64;
+
+const CUT: &str = "a client's connection is dropped: it was of no use";
 
 /// What all connections share.
 pub struct Clients {
@@ -159,16 +168,7 @@
     let connections = &clients.connections;
     let number = connections.next.get();
     connections.next.set(number + 1);
-    let state = Rc::new(State {
-        idle_since: Cell::new(Some(Instant::now())),
-        asked: Cell::new(false),
-        heads: Rc::default(),
-        close: Notify::new(),
-        closing: Cell::new(None),
-        cut: Notify::new(),
-        stream: RefCell::default(),
-        tunnel: RefCell::default(),
-    });
+    let state = Rc::new(State::new());
     connections.open.borrow_mut().insert(number, state.clone());
     let clients = clients.clone();
     spawn_local(async move {
@@ -192,17 +192,18 @@
         }
         async move {
             let busy = Busy::new(&state);
-            state.asked.set(true);
             let in_chunks = request.headers().contains_key(header::TRANSFER_ENCODING);
             let answer = match state.heads.fault() {
                 Some(fault) => {
                     let status = StatusCode::from_u16(fault.status()).unwrap_or(StatusCode::BAD_REQUEST);
                     Err(Bad::new(status, fault.to_string()))
                 }
-                None => counted(&clients, request).await,
+                None => counted(&clients, request, &state).await,
             };
             // After a request that is not taken, what follows may be anything; after one in chunks, heads are not watched.
-            let close = clients.ending.get() || in_chunks || answer.is_err();
+            // One that came as its connection was to be closed is the last there.
+            let last = clients.ending.get() || state.closing.get().is_some();
+            let close = last || in_chunks || answer.is_err();
             let mut answer = answer.unwrap_or_else(|bad| bad.response());
             let switches = answer.status() == StatusCode::SWITCHING_PROTOCOLS;
             if close && !switches {
@@ -226,27 +227,69 @@
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    let io = TokioIo::new(WatchedClient::new(stream, state.heads.clone(), clients.ends.get()));
+    let socket = Shared::new(stream);
+    let io = TokioIo::new(WatchedClient::new(socket.clone(), state.heads.clone(), clients.ends.get()));
     let mut served = builder.max_buf_size(LARGEST_HEAD).serve_connection(io, service);
-    let cut = "a client's connection is dropped: it was of no use";
-    loop {
-        tokio::select! {
-            end = &mut served => match end {
-                Ok(()) => break,
-                Err(e) => return debug!("a client's connection: {e}"),
-            },
-            () = state.close.notified() => std::pin::Pin::new(&mut served).graceful_shutdown(),
-            () = state.cut.notified() => return debug!("{cut}"),
+    {
+        let mut left = pin!(left(&socket, state, &clients.room_in_hand));
+        loop {
+            tokio::select! {
+                end = &mut served => match end {
+                    Ok(()) => break,
+                    Err(e) => return debug!("a client's connection: {e}"),
+                },
+                () = &mut left => return debug!("a client's connection: it has left behind what it sent ahead"),
+                // What has come and is not read yet would be lost: it is answered, as the last there.
+                () = state.close.notified() => if !socket.has_unread() {
+                    std::pin::Pin::new(&mut served).graceful_shutdown();
+                },
+                () = state.cut.notified() => return debug!("{CUT}"),
+            }
         }
     }
     // It may have ended as it switched to another protocol.
     let tunnel = state.tunnel.take();
+    let read_buf = served.into_parts().read_buf;
     if let Some(tunnel) = tunnel {
-        let parts = served.into_parts();
-        let raw = (parts.io.into_inner().into_stream(), parts.read_buf);
+        let Some((stream, ahead)) = socket.into_stream() else { return };
+        let come = [read_buf, ahead].concat().into();
+        tokio::select! {
+            () = tunnel::carry((stream, come), *tunnel) => {}
+            () = state.cut.notified() => debug!("{CUT}"),
+        }
+        return;
+    }
+    // The node has said that it sends nothing more. Closed now, with bytes of the client's unread or on their way, the
+    // system would break the connection, and the client might lose the end of its answer.
+    let _ = timeout(LINGER, socket.closed()).await;
+}
+
+/// Waits until the client has left while it has a request in hand. hyper sees that too, but only behind the last byte that
+/// was sent ahead, and it reads none of those before the answer is out. What is read here in its place waits for it, within
+/// the node's memory for what is in hand. Beyond [`MOST_AHEAD`] the client is held back, and only an end that the system has
+/// taken in is seen.
+async fn left(socket: &Shared, state: &State, memory: &Arc<Semaphore>) {
+    let (mut held, mut no_memory) = (Vec::new(), false);
+    loop {
+        if socket.ahead() == 0 {
+            held.clear();
+        }
+        let asks = state.idle_since.get().is_none();
         tokio::select! {
-            () = tunnel::carry(raw, *tunnel) => {}
-            () = state.cut.notified() => debug!("{cut}"),
+            () = state.asks.notified() => no_memory = false,
+            () = socket.closed(), if asks => return,
+            bytes = socket.unread(), if state.whole.get() && held.len() < MOST_AHEAD && !no_memory => {
+                if !bytes {
+                    return;
+                }
+                match memory.clone().try_acquire_many_owned((PIECE_AHEAD >> 10) as u32) {
+                    Ok(permit) => {
+                        held.push(permit);
+                        socket.read_ahead(PIECE_AHEAD);
+                    }
+                    Err(_) => no_memory = true,
+                }
+            },
         }
     }
 }
--- a/crates/marlwinch/src/turn/event.rs
+++ b/crates/marlwinch/src/turn/event.rs
@@ -1,6 +1,7 @@
 //! What the other tasks tell the node's task, and the one answer that goes back. Data alone.
 
 use crate::boxes::payload::{Ended, Payload, Reply};
+use crate::boxes::permit::Wanted;
 use crate::turn::listing::Update;
 use larchspread::{NewRequest, Repeat, RequestId, ServerId, Settings};
 use std::rc::Rc;
@@ -20,7 +21,32 @@
     pub print: Option<u64>,
     /// How far it may be repeated, as its class says.
     pub repeat: Repeat,
-    pub answer: oneshot::Sender<Answer>,
+    pub answer: Owed,
+}
+
+/// The one answer that is owed. Giving it, or dropping this, ends what may still be sent for its request.
+#[derive(Debug)]
+pub struct Owed {
+    to: Option<oneshot::Sender<Answer>>,
+    wanted: Wanted,
+}
+
+impl Owed {
+    pub fn new(to: oneshot::Sender<Answer>, wanted: Wanted) -> Self {
+        Owed { to: Some(to), wanted }
+    }
+    /// Gives the answer. A client that has left meanwhile wants none, and is told of by its own event.
+    pub fn give(mut self, answer: Answer) {
+        if let Some(to) = self.to.take() {
+            let _ = to.send(answer);
+        }
+    }
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        self.wanted.let_go();
+    }
 }
 
 /// What an operator's file makes of a cluster.
--- a/crates/marlwinch/src/turn/gated.rs
+++ b/crates/marlwinch/src/turn/gated.rs
@@ -155,7 +155,6 @@
 
 fn refuse(arrival: Arrival, refusal: overload::Refusal) -> Next {
     let retry_after = Some(refusal.retry_after);
-    // A client that has left meanwhile wants no answer.
-    let _ = arrival.answer.send(Answer::Refused { retry_after, fallback: refusal.fallback });
+    arrival.answer.give(Answer::Refused { retry_after, fallback: refusal.fallback });
     Next::Refused
 }
--- a/crates/marlwinch/src/turn/node.rs
+++ b/crates/marlwinch/src/turn/node.rs
@@ -352,8 +352,7 @@
             && let Some(answer) = open.answer.take()
         {
             self.figures.served += 1;
-            // A client that has left meanwhile is told of by its own event, which then finds nothing owed.
-            let _ = answer.send(Answer::Served(reply));
+            answer.give(Answer::Served(reply));
         }
         let finished = open.answer.is_none();
         self.figures.ends[outcome as usize] += 1;
@@ -408,7 +407,7 @@
                     Action::Refuse { id, retry_after } => {
                         if let Some(answer) = take_answer(&mut self.open, id) {
                             self.figures.refused += 1;
-                            let _ = answer.send(Answer::Refused { retry_after, fallback: false });
+                            answer.give(Answer::Refused { retry_after, fallback: false });
                         }
                         self.forget(id);
                     }
@@ -417,7 +416,7 @@
                         let timed_out = self.open.get(&id).is_some_and(|open| open.attempts.iter().any(out));
                         if let Some(answer) = take_answer(&mut self.open, id) {
                             self.figures.failed += 1;
-                            let _ = answer.send(Answer::Failed { timed_out });
+                            answer.give(Answer::Failed { timed_out });
                         }
                         self.forget(id);
                     }
@@ -493,7 +492,7 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => self.figures.refused += 1,
             _ => self.figures.failed += 1,
         }
-        let _ = answer.send(Answer::Own(reply));
+        answer.give(Answer::Own(reply));
         true
     }
 
--- a/crates/marlwinch/src/turn/open.rs
+++ b/crates/marlwinch/src/turn/open.rs
@@ -3,13 +3,13 @@
 
 use crate::boxes::backends::Backends;
 use crate::boxes::payload::{Payload, Reply};
-use crate::turn::event::{Answer, NodeEvent};
+use crate::turn::event::{NodeEvent, Owed};
 use exchange::attempt::{self, Kept};
 use larchspread::{AttemptEnd, Event, Outcome, Repeat, RequestId, ServerId};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::Instant;
 use tracing::warn;
@@ -18,7 +18,7 @@
 pub struct Open {
     pub payload: Rc<Payload>,
     /// `None` once the answer is given or the client has gone.
-    pub answer: Option<oneshot::Sender<Answer>>,
+    pub answer: Option<Owed>,
     pub attempts: Vec<Attempt>,
     /// Whether the module gave it up: what it then calls off came too late.
     pub given_up: bool,
@@ -40,7 +40,7 @@
 }
 
 /// The answer that is owed to a request which the module gives up.
-pub fn take_answer(open: &mut HashMap<RequestId, Open>, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+pub fn take_answer(open: &mut HashMap<RequestId, Open>, id: RequestId) -> Option<Owed> {
     let open = open.get_mut(&id)?;
     open.given_up = true;
     open.answer.take()
--- a/crates/marlwinch/src/wire/mod.rs
+++ b/crates/marlwinch/src/wire/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod body;
 pub mod headers;
+pub mod shared;
 pub mod stream_end;
 pub mod tunnel;
--- /dev/null
+++ b/crates/marlwinch/src/wire/shared.rs
@@ -0,0 +1,222 @@
+//! A socket that somebody else reads and writes, and that is watched meanwhile: whether its peer has left, and whether
+//! something waits to be read. What the watcher reads ahead is kept for whoever reads next, in order. Understands none of it.
+
+use bytes::{Bytes, BytesMut};
+use std::cell::RefCell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A socket, for its reader and for whoever watches it.
+#[derive(Clone, Debug)]
+pub struct Shared(Rc<Socket>);
+
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    /// What was read ahead and the reader has not taken.
+    ahead: RefCell<BytesMut>,
+    /// The reader, where it waits.
+    reader: RefCell<Option<Waker>>,
+}
+
+impl Shared {
+    pub fn new(stream: TcpStream) -> Self {
+        Shared(Rc::new(Socket { stream, ahead: RefCell::default(), reader: RefCell::default() }))
+    }
+
+    /// Waits until bytes have come that the reader leaves unread. `false` once there is an end in their place.
+    pub async fn unread(&self) -> bool {
+        loop {
+            if self.0.stream.readable().await.is_err() {
+                return false;
+            }
+            // The reader goes first.
+            tokio::task::yield_now().await;
+            match self.0.stream.try_io(Interest::READABLE, || self.peek()) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                peeked => return peeked.is_ok_and(|count| count > 0),
+            }
+        }
+    }
+
+    /// Takes such bytes, so many at most, and keeps them for the reader. Where that stops reading, an end behind what the
+    /// system has room for comes only so.
+    pub fn read_ahead(&self, most: usize) {
+        let mut piece = BytesMut::zeroed(most);
+        if let Ok(count) = self.0.stream.try_read(&mut piece) {
+            self.0.ahead.borrow_mut().extend_from_slice(&piece[..count]);
+            self.0.reader.take().into_iter().for_each(Waker::wake);
+        }
+    }
+
+    fn peek(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()])
+    }
+
+    /// How much was read ahead and is not taken.
+    pub fn ahead(&self) -> usize {
+        self.0.ahead.borrow().len()
+    }
+
+    /// Waits until the peer has ended its sending or the connection is broken, whatever still waits to be read before
+    /// that. Whoever reads sees it only behind the last of these bytes.
+    pub async fn closed(&self) {
+        // The system tells of an end beside what can be read. What is asked for is the end alone; urgent data, the other
+        // sense of this interest, is not registered for.
+        loop {
+            match self.0.stream.ready(Interest::PRIORITY).await {
+                Ok(ready) if !ready.is_read_closed() => tokio::task::yield_now().await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Whether bytes have come that nobody has read, by the system's own word: the runtime may not have heard yet.
+    pub fn has_unread(&self) -> bool {
+        self.ahead() > 0 || self.peek().is_ok_and(|count| count > 0)
+    }
+
+    /// The socket and what was read ahead, if nobody else has it any more.
+    pub fn into_stream(self) -> Option<(TcpStream, Bytes)> {
+        let socket = Rc::try_unwrap(self.0).ok()?;
+        Some((socket.stream, socket.ahead.into_inner().freeze()))
+    }
+}
+
+impl AsyncRead for Shared {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let count = ahead.len().min(buffer.remaining());
+            buffer.put_slice(&ahead.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
+        drop(ahead);
+        self.0.reader.replace(Some(cx.waker().clone()));
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buffer.initialize_unfilled()) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+        }
+    }
+}
+
+impl Shared {
+    fn poll_try(
+        &self,
+        cx: &mut Context,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Shared {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_try(cx, |stream| stream.try_write(bytes))
+    }
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(match socket2::SockRef::from(&self.0.stream).shutdown(Shutdown::Write) {
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
+            done => done,
+        })
+    }
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        pieces: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_try(cx, |stream| stream.try_write_vectored(pieces))
+    }
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::time::Duration;
+    use tokio::io::AsyncReadExt;
+    use tokio::time::timeout;
+
+    const LONG: Duration = Duration::from_secs(30);
+
+    async fn pair() -> (Shared, std::net::TcpStream) {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        (Shared::new(stream), listener.accept().unwrap().0)
+    }
+
+    #[tokio::test]
+    async fn an_end_is_seen_behind_bytes_that_nobody_has_read() {
+        for reset in [false, true] {
+            let (shared, mut peer) = pair().await;
+            peer.write_all(&[b'x'; 100_000]).unwrap();
+            while !shared.has_unread() {
+                tokio::task::yield_now().await;
+            }
+            // Bytes alone are no end: it is polled, and goes on waiting.
+            assert!(timeout(Duration::from_millis(20), shared.closed()).await.is_err());
+            if reset {
+                socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            drop(peer);
+            timeout(LONG, shared.closed()).await.expect("the end is seen");
+            if !reset {
+                let (mut shared, mut all) = (shared, Vec::new());
+                shared.read_to_end(&mut all).await.unwrap();
+                assert_eq!(all.len(), 100_000, "and nothing of what came before it is lost");
+                timeout(LONG, shared.closed()).await.expect("it stays seen");
+            }
+        }
+    }
+
+    #[tokio::test]
+    async fn what_is_read_ahead_comes_to_the_reader_in_order_and_wakes_it() {
+        let (shared, mut peer) = pair().await;
+        peer.write_all(b"0123456789").unwrap();
+        assert!(timeout(LONG, shared.unread()).await.unwrap());
+        shared.read_ahead(4);
+        assert_eq!(shared.ahead(), 4);
+        let (mut reader, mut ten, mut one) = (shared.clone(), [0; 10], [0]);
+        timeout(LONG, reader.read_exact(&mut ten)).await.unwrap().unwrap();
+        assert_eq!(&ten, b"0123456789");
+        // It waits for more, which somebody else reads.
+        let mut read = std::pin::pin!(reader.read_exact(&mut one));
+        assert!(still_waits(&mut read).await, "there is nothing yet");
+        peer.write_all(b"x").unwrap();
+        assert!(timeout(LONG, shared.unread()).await.unwrap());
+        shared.read_ahead(4);
+        assert_eq!(shared.ahead(), 1);
+        timeout(LONG, read).await.expect("it is woken").unwrap();
+        assert_eq!(&one, b"x");
+    }
+
+    /// Whether a future still waits after one look.
+    async fn still_waits<F: Future + Unpin>(future: &mut F) -> bool {
+        std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut *future).poll(cx).is_pending())).await
+    }
+}
--- /dev/null
+++ b/crates/marlwinch/tests/leaving.rs
@@ -0,0 +1,213 @@
+//! Clients that leave while their request waits, at each point at which one can: what waited is not sent on 0.3 s later,
+//! however they leave and whatever they had sent ahead.
+
+mod peers;
+
+use peers::{LONG, Listener, Node, Peer, config, list};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// From then on nothing may be sent on for a client that has left.
+const TERM: Duration = Duration::from_millis(300);
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum How {
+    Closes,
+    Resets,
+    /// It ends its sending and goes on reading, which can't be told from a close.
+    EndsSending,
+}
+
+const HOWS: [How; 3] = [How::Closes, How::Resets, How::EndsSending];
+
+/// What a client has sent behind its request.
+const AHEAD: [(&str, usize); 4] =
+    [("", 0), ("GET /look/7f", 1), ("POST /correct/a HTTP/1.1\r\nX: y\r\n", 1), ("x", 300_000)];
+
+/// Sends a request that is never to be seen by a box, and what comes behind it.
+fn ask(node: &Node, class: &str, (ahead, times): (&str, usize)) -> Peer {
+    let mut client = node.client();
+    client.request(class, "X-Correlation-Id: left\r\n", "x");
+    // As much as the node's system takes: it may read none of it.
+    client.stream.set_nonblocking(true).expect("a socket");
+    let _ = std::io::Write::write(&mut client.stream, ahead.repeat(times).as_bytes());
+    client.stream.set_nonblocking(false).expect("a socket");
+    client
+}
+
+/// Leaves. What is returned holds a socket open that is still the client's.
+fn leave(client: Peer, how: How) -> Option<Peer> {
+    match how {
+        How::Closes => None,
+        How::Resets => {
+            socket2::SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+            None
+        }
+        How::EndsSending => {
+            client.stream.shutdown(Shutdown::Write).expect("closed");
+            Some(client)
+        }
+    }
+}
+
+/// A client that asks behind the one that leaves, and stays: what waits is sent on in the order in which it came, so that
+/// its request would come to a box second.
+fn stay(node: &Node) -> Peer {
+    let mut client = node.client();
+    client.request("correct", "X-Correlation-Id: stays\r\n", "x");
+    // Both are with the node by the time at which it answers one that came behind them.
+    let mut other = node.client();
+    other.request("nothing", "", "");
+    assert_eq!(other.read().status(), 404);
+    client
+}
+
+/// The request of the client that stays has to be the first that a box gets, on a connection that is open or a new one.
+fn first_is_who_stays(mut client: Peer, backend: &Listener, peers: &mut Vec<Peer>) {
+    let begun = Instant::now();
+    loop {
+        if let Some(peer) = backend.try_accept() {
+            peers.push(peer);
+        }
+        if let Some(peer) = peers.iter_mut().find(|peer| peer.has_more()) {
+            assert_eq!(peer.read().header("x-correlation-id"), Some("stays"));
+            peer.answer("200 OK", "", "done");
+            break;
+        }
+        assert!(begun.elapsed() < LONG, "nobody asks");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(client.read().status(), 200);
+}
+
+/// It waits as no box is listed. Then one is.
+#[test]
+fn what_waits_for_a_box_is_not_sent_once_its_client_has_left() {
+    for how in HOWS {
+        for ahead in AHEAD {
+            let (backend, discovery) = (Listener::new(), Listener::new());
+            let node = Node::start(&config(discovery.address(), &list(41, true, &[]), |_| {}));
+            let mut watch = discovery.accept();
+            watch.read();
+            watch.begin_watch();
+            watch.line("");
+            let client = ask(&node, "correct", ahead);
+            println!("{how:?} ahead {} x {}", ahead.0.len(), ahead.1);
+            let stays = stay(&node);
+            let rest = leave(client, how);
+            std::thread::sleep(TERM);
+            watch.line(&list(42, true, &[("s-1", backend.address(), "east", "in_service")]));
+            first_is_who_stays(stays, &backend, &mut Vec::new());
+            drop(rest);
+        }
+    }
+}
+
+/// A machine that takes a connection only once somebody takes one from its full queue.
+fn late() -> (Listener, Vec<std::net::TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket.listen(0).expect("a backlog");
+    let listener = Listener::from(socket);
+    let patience = Duration::from_millis(200);
+    let full: Vec<_> = (0..8)
+        .map_while(|_| std::net::TcpStream::connect_timeout(&listener.address(), patience).ok())
+        .collect();
+    assert!(full.len() < 8, "its backlog is never full");
+    (listener, full)
+}
+
+/// It has been picked for a box, and the connection there is not up yet. Then it comes up. Whether the settings allow
+/// attempts to be called off or not: nothing has gone out that could be.
+#[test]
+fn what_waits_for_a_connection_is_not_written_once_its_client_has_left() {
+    let cases =
+        [(true, How::Closes, AHEAD[0]), (false, How::Resets, AHEAD[1]), (false, How::EndsSending, AHEAD[3])];
+    for (cancel, how, ahead) in cases {
+        let (backend, full) = late();
+        let discovery = Listener::new();
+        let known = list(1, true, &[("s-1", backend.address(), "east", "in_service")]);
+        let node = Node::start(&config(discovery.address(), &known, |c| {
+            c["settings"]["Permissions"]["ConnectTimeout"] = 20_000.0.into();
+            c["settings"]["Permissions"]["Cancel"] = cancel.into();
+        }));
+        let client = ask(&node, "correct", ahead);
+        let stays = stay(&node);
+        let rest = leave(client, how);
+        std::thread::sleep(TERM);
+        // Once those that filled its queue are out of it, the system tries again by itself, after a second.
+        let mut peers = Vec::new();
+        full.into_iter().for_each(|_| drop(backend.accept()));
+        first_is_who_stays(stays, &backend, &mut peers);
+        // What can't be called off comes up all the same, and is there for whoever asks next.
+        first_is_who_stays(stay(&node), &backend, &mut peers);
+        drop(rest);
+    }
+}
+
+/// It is out at a box, which is told by the end of its connection.
+#[test]
+fn what_is_out_is_called_off_once_its_client_has_left_behind_bytes_sent_ahead() {
+    for how in HOWS {
+        for ahead in AHEAD {
+            let (backend, discovery) = (Listener::new(), Listener::new());
+            let known = list(1, true, &[("s-1", backend.address(), "east", "in_service")]);
+            // Its time is longer than the test waits: only its client's leaving ends it.
+            let node = Node::start(&config(discovery.address(), &known, |c| {
+                c["settings"]["Classes"][2]["Target"] = 90_000.0.into();
+                c["settings"]["Classes"][2]["GiveUp"] = 90_000.0.into();
+            }));
+            let client = ask(&node, "correct", ahead);
+            let mut peer = backend.accept();
+            assert_eq!(peer.read().header("x-correlation-id"), Some("left"));
+            let rest = leave(client, how);
+            peer.expect_end();
+            // Its id is free again.
+            let mut again = node.client();
+            again.request("correct", "X-Correlation-Id: left\r\n", "x");
+            let mut peer = backend.accept();
+            peer.read();
+            peer.answer("200 OK", "", "done");
+            assert_eq!(again.read().status(), 200);
+            drop(rest);
+        }
+    }
+}
+
+/// Hundreds at once, at drawn times around the moment at which a box comes on the list: whoever left long enough before
+/// is not sent on, and all that they held is free again.
+#[test]
+fn a_burst_that_leaves_is_not_sent_on() {
+    for seed in 0..4 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let (backend, discovery) = (Listener::new(), Listener::new());
+        let node = Node::start(&config(discovery.address(), &list(41, true, &[]), |_| {}));
+        let mut watch = discovery.accept();
+        watch.read();
+        watch.begin_watch();
+        watch.line("");
+        let clients: Vec<_> = (0..250)
+            .map(|i| {
+                let mut client = node.client();
+                client.request("correct", &format!("X-Correlation-Id: left-{i}\r\n"), "x");
+                (rng.random_range(0..40u64), client)
+            })
+            .collect();
+        let stays = stay(&node);
+        let mut clients = clients;
+        clients.sort_by_key(|(at, _)| *at);
+        let mut last = 0;
+        for (at, client) in clients {
+            std::thread::sleep(Duration::from_millis(at - last));
+            last = at;
+            leave(client, HOWS[rng.random_range(0..2)]);
+        }
+        std::thread::sleep(TERM);
+        watch.line(&list(42, true, &[("s-1", backend.address(), "east", "in_service")]));
+        println!("seed {seed}");
+        first_is_who_stays(stays, &backend, &mut Vec::new());
+    }
+}
