Notice a silent watch in half the time, and discovery's return within the grace for drains

Lines: `watch` and `follow` in platform/discovery.rs (one SILENCE for four waits, LONGEST_BACKOFF whatever the settings, lines cut at each newline).

Change: 3 s without a line, 2.25 s to the first; where lists are pushed, and to ask is free, calls are made beside unanswered ones at a quarter of DrainGrace, four at most; a pause between calls is no longer than that. A watch that was over within 0.5 s is not opened anew without a pause. Texts (platform/texts.rs) cuts values, on one line or several; a value that was cut short ends with the next empty line or the next whole list, which is not lost with it.

The test of bad lines told of the cut one at once; it is told now with the empty line behind it, which the test sends. All its assertions stay.

--- a/crates/marlwinch/src/platform/discovery.rs
+++ b/crates/marlwinch/src/platform/discovery.rs
@@ -1,27 +1,43 @@
 //! The list of backends: reading its lines, and the watch that brings them.
 
 use crate::boxes::driver::Driver;
+use crate::platform::texts::{Text, Texts};
 use crate::telemetry::logging::Limited;
 use crate::turn::listing::Update;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use larchspread::{ListKind, ServerEntry, ServerId, ServerState};
+use larchspread::{ListKind, ServerEntry, ServerId, ServerState, Settings};
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::timeout;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::{debug, info};
 
-/// A watch with no line for so long is dead: one is due every 2 s, and its news counts as told after 6 s.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// A watch with no line for so long is dead: one is due every 2 s, and what it misses counts as told 6 s after its last
+/// one. That leaves time for one in its place that is silent as well.
+const SILENCE: Duration = Duration::from_millis(3000);
+/// How long a call may take to be answered at all. Guards against an address that takes calls and says nothing.
+const OPENING: Duration = Duration::from_millis(4500);
+/// How long a watch that has been answered may take to its first line, which is due at once, and at the latest with the
+/// first of those that come every 2 s.
+const FIRST_LINE: Duration = Duration::from_millis(2250);
+/// A watch that was over so soon does not come anew at once: whoever ends each would be asked without a pause.
+const SHORT_LIVED: Duration = Duration::from_millis(500);
+/// Calls that may be under way at once.
+const MOST_CALLS: usize = 4;
+/// The part of the grace for drains that may go by from discovery's return until it is asked.
+const PART_OF_GRACE: u32 = 4;
 /// The longest line, several thousand backends. Guards the node's memory against a line that never ends.
 const LONGEST_LINE: usize = 2 << 20;
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -210,6 +226,26 @@
     }
 }
 
+/// How often discovery is asked that does not answer. Where lists are pushed, what it has counts as told whether or not a
+/// watch is open: when it is back, that has to be known well within the grace for drains, and to ask costs nothing. Shared
+/// with whoever reads new settings.
+#[derive(Clone)]
+pub struct Pace(Rc<Cell<Duration>>);
+
+impl Pace {
+    pub fn new(settings: &Settings) -> Self {
+        let pace = Pace(Rc::default());
+        pace.retune(settings);
+        pace
+    }
+    pub fn retune(&self, settings: &Settings) {
+        self.0.set((settings.rules.drain_grace / PART_OF_GRACE).max(Duration::from_millis(10)));
+    }
+    fn get(&self) -> Duration {
+        self.0.get()
+    }
+}
+
 /// Keeps a watch open for as long as the node runs, and hands on what it brings. Nothing that happens to the watch
 /// empties the list: the node goes on with what it has. Where this takes the place of another watch, that one goes on
 /// until the first list has come from here. Where discovery has to be asked, each watch waits for that, and one that is
@@ -219,9 +255,11 @@
     roster: Rc<RefCell<Roster>>,
     updates: mpsc::Sender<Update>,
     mut replaces: Option<Driver>,
-    asked: Option<Rc<Asked>>,
+    (asked, pace): (Option<Rc<Asked>>, Pace),
 ) {
-    let mut source = Source { address, roster, updates, joined: replaces.is_none() };
+    // Where every node's calls are one service's work, one is made at a time.
+    let beside = asked.is_none().then(|| pace.clone());
+    let mut source = Source { address, roster, updates, joined: replaces.is_none(), beside };
     let mut backoff = Duration::ZERO;
     let mut down = false;
     // Another discovery is asked at once: it is where the node was told to go.
@@ -230,13 +268,18 @@
         if let Some(asked) = asked.as_ref().filter(|_| !std::mem::take(&mut at_once)) {
             asked.next().await;
         }
-        let mut came = false;
+        let (mut came, begun) = (false, Instant::now());
         let end = watch(&mut source, &mut replaces, &mut came).await;
         if source.updates.is_closed() {
             return;
         }
-        // A lost watch is reopened at once; one that won't come up, after a pause that grows.
-        backoff = if came { Duration::ZERO } else { (2 * backoff).clamp(FIRST_BACKOFF, LONGEST_BACKOFF) };
+        // A lost watch is reopened at once; one that won't come up or stay, after a pause that grows.
+        backoff = if came && begun.elapsed() >= SHORT_LIVED {
+            Duration::ZERO
+        } else {
+            let longest = LONGEST_BACKOFF.min(pace.get());
+            (2 * backoff).clamp(FIRST_BACKOFF.min(longest), longest)
+        };
         if came || !down {
             info!("discovery: watch of {address} from {} is over, {end}", source.roster.borrow().generation);
         } else {
@@ -244,7 +287,7 @@
         }
         down = !came;
         if asked.is_none() {
-            tokio::time::sleep(backoff).await;
+            sleep(backoff).await;
             continue;
         }
         let version = source.roster.borrow().version;
@@ -262,50 +305,88 @@
     updates: mpsc::Sender<Update>,
     /// Whether a list has come from here. Until then its generations are not known to go on from the roster's.
     joined: bool,
+    /// How often another call is made beside those that are not answered, where that costs nothing.
+    beside: Option<Pace>,
+}
+
+/// A watch that has been answered.
+struct Opened {
+    body: Incoming,
+    _sender: SendRequest<Empty<Bytes>>,
+    _driver: Driver,
+}
+
+/// One call for a watch.
+async fn call(address: SocketAddr, from: u32) -> Result<Opened, String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let _driver = Driver::of(connection);
+    let request = Request::get(format!("/v1/endpoints?watch=1&from={from}"))
+        .header(header::HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| e.to_string())?;
+    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    Ok(Opened { body: answer.into_body(), _sender: sender, _driver })
+}
+
+/// Calls until one is answered. A discovery that is down may take a call and stay silent on it even when it is back, so
+/// others are made beside it, and the oldest gives way.
+async fn open(source: &Source, from: u32) -> Result<Opened, String> {
+    let (mut calls, mut order) = (JoinSet::new(), VecDeque::<AbortHandle>::new());
+    let until = Instant::now() + OPENING;
+    loop {
+        if order.len() >= MOST_CALLS
+            && let Some(oldest) = order.pop_front()
+        {
+            oldest.abort();
+        }
+        order.push_back(calls.spawn_local(call(source.address, from)));
+        let another = source.beside.as_ref().map_or(until, |pace| Instant::now() + pace.get());
+        loop {
+            tokio::select! {
+                biased;
+                Some(done) = calls.join_next() => match done {
+                    Ok(Ok(opened)) => return Ok(opened),
+                    Ok(Err(what)) if calls.is_empty() => return Err(what),
+                    // One of several, or one that has given way.
+                    Ok(Err(_)) | Err(_) => {}
+                },
+                () = sleep_until(another.min(until)) => break,
+            }
+        }
+        if Instant::now() >= until {
+            return Err("no answer in time".into());
+        }
+    }
 }
 
 async fn watch(source: &mut Source, replaces: &mut Option<Driver>, came: &mut bool) -> WatchEnd {
-    let (address, updates) = (source.address, source.updates.clone());
+    let updates = source.updates.clone();
     // Another discovery may number its lists in its own way: it is asked for the whole list.
     let from = if source.joined { source.roster.borrow().generation } else { 0 };
-    let opened = timeout(SILENCE, async {
-        let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-        let io = TokioIo::new(stream);
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(io).await.map_err(|e| e.to_string())?;
-        let driver = Driver::of(connection);
-        let request = Request::get(format!("/v1/endpoints?watch=1&from={from}"))
-            .header(header::HOST, address.to_string())
-            .body(Empty::<Bytes>::new())
-            .map_err(|e| e.to_string())?;
-        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
-        }
-        Ok((answer.into_body(), sender, driver))
-    });
-    let (mut body, _sender, _driver) = match opened.await {
-        Ok(Ok(opened)) => opened,
-        Ok(Err(what)) => return WatchEnd::NotUp(what),
-        Err(_) => return WatchEnd::NotUp("no answer in time".into()),
+    let mut opened = match open(source, from).await {
+        Ok(opened) => opened,
+        Err(what) => return WatchEnd::NotUp(what),
     };
-    let mut pending = Vec::new();
+    let mut texts = Texts::default();
     loop {
-        let frame = match timeout(SILENCE, body.frame()).await {
+        let silence = if *came { SILENCE } else { FIRST_LINE };
+        let frame = match timeout(silence, opened.body.frame()).await {
             Err(_) => return WatchEnd::Silent,
             Ok(None) => return WatchEnd::Ended("its answer is over".into()),
             Ok(Some(Err(e))) => return WatchEnd::Ended(e.to_string()),
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
-        pending.extend_from_slice(&data);
-        while let Some(end) = pending.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = pending.drain(..=end).collect();
+        texts.add(&data);
+        let is_list = |line: &[u8]| serde_json::from_slice::<RawList>(line).is_ok();
+        while let Some(text) = texts.next(is_list) {
             *came = true;
-            if line.trim_ascii().is_empty() {
-                continue;
-            }
-            let read = source.roster.borrow_mut().read(&line, !source.joined);
+            let Text::Value(text) = text else { continue };
+            let read = source.roster.borrow_mut().read(&text, !source.joined);
             match read {
                 Ok(update) => {
                     debug!("discovery: {update:?}");
@@ -318,7 +399,7 @@
                 Err(what) => source.roster.borrow().bad.warn(|| format!("discovery: line skipped: {what}")),
             }
         }
-        if pending.len() > LONGEST_LINE {
+        if texts.len() > LONGEST_LINE {
             return WatchEnd::Ended(format!("a line of over {LONGEST_LINE} bytes"));
         }
     }
--- a/crates/marlwinch/src/platform/mod.rs
+++ b/crates/marlwinch/src/platform/mod.rs
@@ -8,3 +8,4 @@
 pub mod handover;
 pub mod retune;
 pub mod run;
+pub mod texts;
--- a/crates/marlwinch/src/platform/run.rs
+++ b/crates/marlwinch/src/platform/run.rs
@@ -10,7 +10,7 @@
 use crate::clients::serve::Clients;
 use crate::platform::config::{self, Config};
 use crate::platform::control::{self, Told};
-use crate::platform::discovery::{self, Asked, Roster};
+use crate::platform::discovery::{self, Asked, Pace, Roster};
 use crate::platform::front::PlatformFront;
 use crate::platform::handover::{self, Inherited};
 use crate::platform::retune::{self, Tuning};
@@ -124,13 +124,10 @@
     let node = node.telling(figures.clone()).asking(asked.clone());
     let node = spawn_local(node.run(events_out, lists_out, config.known));
     let roster = Rc::new(RefCell::new(config.roster));
-    let watch = Driver::spawn(discovery::follow(
-        config.discovery,
-        roster.clone(),
-        lists.clone(),
-        None,
-        asked.clone(),
-    ));
+    let pace = Pace::new(settings);
+    let calls = (asked.clone(), pace.clone());
+    let watch =
+        Driver::spawn(discovery::follow(config.discovery, roster.clone(), lists.clone(), None, calls));
     let front = PlatformFront::new(config.tuning.clone(), events.clone(), &figures);
     let clients = Rc::new(Clients {
         front: RefCell::new(Rc::new(front)),
@@ -160,6 +157,7 @@
         discovery: config.discovery,
         watch,
         asked,
+        pace,
         roster,
         lists,
         events,
@@ -237,6 +235,7 @@
     discovery: SocketAddr,
     watch: Driver,
     asked: Option<Rc<Asked>>,
+    pace: Pace,
     roster: Rc<RefCell<Roster>>,
     lists: mpsc::Sender<Update>,
     events: mpsc::UnboundedSender<NodeEvent>,
@@ -266,13 +265,14 @@
     }
 
     fn take(&mut self, config: Config) {
+        self.pace.retune(&config.tuning.0);
         let renamed = self.roster.borrow_mut().rename(&config.tuning.1.zones, &config.tuning.1.kinds);
         if config.discovery != self.discovery || renamed {
             info!("told to read the configuration again: discovery is at {}", config.discovery);
             self.discovery = config.discovery;
-            let asked = self.asked.clone();
+            let calls = (self.asked.clone(), self.pace.clone());
             let (address, roster, lists) = (config.discovery, self.roster.clone(), self.lists.clone());
-            let replaced = |old| discovery::follow(address, roster, lists, Some(old), asked);
+            let replaced = |old| discovery::follow(address, roster, lists, Some(old), calls);
             let old = std::mem::replace(&mut self.watch, Driver::spawn(std::future::ready(())));
             self.watch = Driver::spawn(replaced(old));
         }
--- a/crates/marlwinch/tests/node.rs
+++ b/crates/marlwinch/tests/node.rs
@@ -359,7 +359,9 @@
     let (old, new) = (Listener::new(), Listener::new());
     let (mut node, discovery) = node_with(&[&old]);
     let mut watch = begin_watch(&discovery, 41);
+    // A list may go on over several lines. One that was cut short ends with the next empty line.
     watch.line("{\"generation\":");
+    watch.line("");
     node.logged("line skipped");
     watch.line("[1, 2]");
     // A bad entry leaves its backend as it was, also in a whole list; the others of the line count.
