Answer all before the kill that follows SIGTERM, each class in its own time, to the last byte

Seen over loopback (tests/endings.rs and tests/watches.rs on the code before): - boxes that hang and a deadline of 20 s: no answer within 10 s of SIGTERM, where SIGKILL may come after 3.7 s; - a client with 200 kB of its own unread by the node lost its last answer after 32,768 of 60,000 bytes ("connection reset"): the system breaks a connection that is closed over unread bytes; - a class with an aim of 40 ms made the node give up every class's answers that paused for 10 ms, as `patience` took the shortest aim of all. Held before: a second SIGTERM and a SIGHUP during the end; requests sent every 25 ms across the close of their connections; two moves of discovery in a row.

Lines: run.rs (nothing bounds what is open after SIGTERM), serve.rs (`connection` drops the socket once hyper has shut it down), backends.rs (`patience`).

Change: SIGTERM tells the module that all has to be over 0.2 s before the kill; connections without a request are let go of 100 ms after the last was taken. What a client still sends behind its last answer is read and passed over for up to 250 ms; not where a connection is let go of between requests, as its client will ask elsewhere. Connects and pauses are bounded by the request's own class.

--- a/crates/marlwinch/src/boxes/backends.rs
+++ b/crates/marlwinch/src/boxes/backends.rs
@@ -9,7 +9,7 @@
 use crate::telemetry::logging::Limited;
 use crate::turn::listing::Update;
 use crate::turn::pause::Pauses;
-use crate::wire::body::{Download, Held, LARGEST_BODY, LONGEST_GAP, Outgoing, Stopped, Upload, hold};
+use crate::wire::body::{Download, Held, LARGEST_BODY, Outgoing, Stopped, Upload, hold};
 use crate::wire::headers::TIME_LEFT;
 use crate::wire::stream_end::StreamEnd;
 use crate::wire::tunnel::Tunnel;
@@ -38,8 +38,6 @@
 const PASSED_BEFORE: Duration = Duration::from_millis(30);
 /// The largest head of a message. Bounds what hyper buffers for a connection.
 pub const LARGEST_HEAD: usize = 16 << 10;
-/// The part of the shortest aim that a connect may take. Three more fit into the rest, whatever `ConnectTimeout` says.
-const PATIENCE: u32 = 4;
 /// How long a connection rests after an answer. What a backend sends right behind it has come by then and spoils the
 /// connection; later it could pass for the next answer.
 const REST: Duration = Duration::from_millis(3);
@@ -67,8 +65,7 @@
     passed: Served,
     probe_timeout: Cell<Duration>,
     /// How long a connection may take to come up, and an answer that has begun to come whole, where a request does not
-    /// say. Guards against machines that say nothing: who waits for them to the end of a request's time has none left for
-    /// another attempt.
+    /// say: for probes.
     patience: Cell<Patience>,
     /// Idle connections are dropped after this time, well before the backend would.
     idle_after: Cell<Duration>,
@@ -550,6 +547,5 @@
 /// What holds where a request does not say.
 fn patience(settings: &Settings) -> Patience {
     let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(Duration::MAX);
-    let patience = settings.limits.connect_timeout.min(aim / PATIENCE);
-    Patience { connect: patience, stall: patience, gap: LONGEST_GAP, whole: None, hold: None }
+    Patience::of(aim, settings)
 }
--- a/crates/marlwinch/src/boxes/payload.rs
+++ b/crates/marlwinch/src/boxes/payload.rs
@@ -1,13 +1,13 @@
 //! What goes to a box, what comes back, and how an attempt ended. Data alone.
 
 use crate::boxes::permit::Wanted;
-use crate::wire::body::{Download, Upload};
+use crate::wire::body::{Download, LONGEST_GAP, Upload};
 use crate::wire::tunnel::Tunnel;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, StatusCode};
-use larchspread::{LoadReport, Outcome, ServerId};
+use larchspread::{LoadReport, Outcome, ServerId, Settings};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,6 +47,18 @@
     pub hold: Option<Duration>,
 }
 
+/// The part of an aim that a connect may take. Three more fit into the rest, whatever `ConnectTimeout` says.
+const PART_OF_AIM: u32 = 4;
+
+impl Patience {
+    /// For requests that have so much time. Guards against machines that say nothing: who waits for them to the end of a
+    /// request's time has none left for another attempt.
+    pub fn of(aim: Duration, settings: &Settings) -> Self {
+        let patience = settings.limits.connect_timeout.min(aim / PART_OF_AIM);
+        Patience { connect: patience, stall: patience, gap: LONGEST_GAP, whole: None, hold: None }
+    }
+}
+
 /// A backend's answer to a request.
 #[derive(Debug)]
 pub struct Reply {
--- a/crates/marlwinch/src/clients/serve.rs
+++ b/crates/marlwinch/src/clients/serve.rs
@@ -41,6 +41,9 @@
 const FAREWELL: Duration = Duration::from_millis(500);
 /// How long a connection may be without a request before it is closed, once the node ends.
 const LAST_CALL: Duration = Duration::from_millis(500);
+/// The same once nobody is taken any more. Whoever connected for a request has sent it by then, and what a connection may
+/// still bring is to be answered before the process is killed.
+const AFTER_FAREWELL: Duration = Duration::from_millis(100);
 /// How long a client is waited for that has its last answer, until it closes. Guards that answer against a break.
 const LINGER: Duration = Duration::from_millis(250);
 
@@ -114,7 +117,7 @@
     }
     listeners.close();
     while !clients.connections.open.borrow().is_empty() {
-        clients.connections.sweep(LAST_CALL);
+        clients.connections.sweep(AFTER_FAREWELL);
         end.into_iter().for_each(|end| clients.connections.end_streams(end));
         sleep(Duration::from_millis(10)).await;
     }
@@ -230,6 +233,8 @@
     let socket = Shared::new(stream);
     let io = TokioIo::new(WatchedClient::new(socket.clone(), state.heads.clone(), clients.ends.get()));
     let mut served = builder.max_buf_size(LARGEST_HEAD).serve_connection(io, service);
+    // Whether it is let go of between requests. What crosses that is not to be read, as its client will ask elsewhere.
+    let mut let_go = false;
     {
         let mut left = pin!(left(&socket, state, &clients.room_in_hand));
         loop {
@@ -241,6 +246,7 @@
                 () = &mut left => return debug!("a client's connection: it has left behind what it sent ahead"),
                 // What has come and is not read yet would be lost: it is answered, as the last there.
                 () = state.close.notified() => if !socket.has_unread() {
+                    let_go = state.idle_since.get().is_some();
                     std::pin::Pin::new(&mut served).graceful_shutdown();
                 },
                 () = state.cut.notified() => return debug!("{CUT}"),
@@ -260,8 +266,14 @@
         return;
     }
     // The node has said that it sends nothing more. Closed now, with bytes of the client's unread or on their way, the
-    // system would break the connection, and the client might lose the end of its answer.
-    let _ = timeout(LINGER, socket.closed()).await;
+    // system would break the connection, and the client would lose what it has not read of its answer.
+    let _ = timeout(LINGER, async {
+        while !let_go && socket.unread().await {
+            socket.pass_over(PIECE_AHEAD);
+        }
+        socket.closed().await;
+    })
+    .await;
 }
 
 /// Waits until the client has left while it has a request in hand. hyper sees that too, but only behind the last byte that
--- a/crates/marlwinch/src/platform/front.rs
+++ b/crates/marlwinch/src/platform/front.rs
@@ -1,6 +1,7 @@
 //! The platform's requests: a class by the first part of the path, a key by the last, the rest in headers, as the
 //! settings have it.
 
+use crate::boxes::payload::Patience;
 use crate::clients::front::{self, Bad, Front, Taken};
 use crate::telemetry::figures::{ClassFigures, Figures};
 use crate::turn::event::NodeEvent;
@@ -129,7 +130,8 @@
             events,
             target,
             headers: Vec::new(),
-            patience: None,
+            // By its own aim: a class in a hurry must not make the others give up what they have time for.
+            patience: Some(Patience::of(terms.aim, &self.settings)),
             route: None,
             limit: None,
             figures: self.figures.get(class).cloned(),
--- a/crates/marlwinch/src/platform/run.rs
+++ b/crates/marlwinch/src/platform/run.rs
@@ -23,7 +23,7 @@
 use crate::turn::pause::Pauses;
 use exchange::attempt::Served;
 use exchange::framing::Ends;
-use larchspread::Balancer;
+use larchspread::{Balancer, Settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -50,6 +50,12 @@
 /// the node.
 const CHANGEOVER: Duration = Duration::from_millis(2500);
 
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, this much of it at most, and this long after that. What
+/// is open then is lost, so all has its answer somewhat before.
+const LONGEST_KEPT: Duration = Duration::from_secs(3);
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const BEFORE_THAT: Duration = Duration::from_millis(200);
+
 /// Runs the node that the platform's variables describe, until it is told to end.
 pub fn main() -> ExitCode {
     logging::start();
@@ -76,6 +82,12 @@
     }
 }
 
+/// How long after SIGTERM all is to have its answer.
+fn ends_within(settings: &Settings) -> Duration {
+    let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    longest.min(LONGEST_KEPT) + KILLED_AFTER - BEFORE_THAT
+}
+
 /// Runs the node until SIGTERM and all is answered. `listening` is told where clients connect.
 pub async fn run(config: Config, listening: impl FnOnce(SocketAddr)) -> Result<(), String> {
     // Before anything else: a signal that nobody handles ends the process.
@@ -153,7 +165,10 @@
         spawn_local(control::run(console, told));
     }
     spawn_local(begin(listeners.clone(), place(address), predecessor, ready, taking));
+    let ends_within = Rc::new(Cell::new(ends_within(settings)));
+    let last_word = (events.clone(), ends_within.clone());
     let reloading = Reloading {
+        ends_within,
         discovery: config.discovery,
         watch,
         asked,
@@ -171,6 +186,7 @@
     spawn_local(reloading.run(hangup));
     let end = async move {
         terminate.recv().await;
+        let _ = last_word.0.send(NodeEvent::Ending(last_word.1.get()));
     };
     tokio::select! {
         () = crate::clients::serve::serve(clients, listeners, most_clients, end) => Ok(()),
@@ -232,6 +248,7 @@
 
 /// What a SIGHUP may change.
 struct Reloading {
+    ends_within: Rc<Cell<Duration>>,
     discovery: SocketAddr,
     watch: Driver,
     asked: Option<Rc<Asked>>,
@@ -266,6 +283,7 @@
 
     fn take(&mut self, config: Config) {
         self.pace.retune(&config.tuning.0);
+        self.ends_within.set(ends_within(&config.tuning.0));
         let renamed = self.roster.borrow_mut().rename(&config.tuning.1.zones, &config.tuning.1.kinds);
         if config.discovery != self.discovery || renamed {
             info!("told to read the configuration again: discovery is at {}", config.discovery);
--- a/crates/marlwinch/src/turn/event.rs
+++ b/crates/marlwinch/src/turn/event.rs
@@ -82,6 +82,8 @@
     Changed(Box<Change>),
     /// Other settings. What is in hand goes on as it was taken.
     Retuned(Box<Settings>),
+    /// The node ends: all is to be answered within this time.
+    Ending(Duration),
     /// Nothing more will come: the task ends once all is answered.
     Retired,
     Arrived(Arrival),
--- a/crates/marlwinch/src/turn/node.rs
+++ b/crates/marlwinch/src/turn/node.rs
@@ -239,6 +239,7 @@
             }
             NodeEvent::Retuned(settings) => self.balancer.reconfigure(*settings),
             NodeEvent::Retired => self.retired = true,
+            NodeEvent::Ending(within) => self.tell(Event::Ending { within }),
             NodeEvent::Gone(id) => {
                 let now = self.clock.now();
                 if let Some(at) = self.held.iter().position(|arrival| arrival.new.id == id) {
--- a/crates/marlwinch/src/wire/shared.rs
+++ b/crates/marlwinch/src/wire/shared.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Takes such bytes, so many at most, which nobody wants any more.
+    pub fn pass_over(&self, most: usize) {
+        // What is not there to be taken is told of by the next look.
+        let _ = self.0.stream.try_read(&mut vec![0; most]);
+    }
+
     fn peek(&self) -> io::Result<usize> {
         socket2::SockRef::from(&self.0.stream).peek(&mut [MaybeUninit::uninit()])
     }
--- a/crates/marlwinch/tests/leaving.rs
+++ b/crates/marlwinch/tests/leaving.rs
@@ -6,7 +6,7 @@
 use peers::{LONG, Listener, Node, Peer, config, list};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::net::{Shutdown, SocketAddr};
+use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
 /// From then on nothing may be sent on for a client that has left.
@@ -106,20 +106,6 @@
     }
 }
 
-/// A machine that takes a connection only once somebody takes one from its full queue.
-fn late() -> (Listener, Vec<std::net::TcpStream>) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    socket.listen(0).expect("a backlog");
-    let listener = Listener::from(socket);
-    let patience = Duration::from_millis(200);
-    let full: Vec<_> = (0..8)
-        .map_while(|_| std::net::TcpStream::connect_timeout(&listener.address(), patience).ok())
-        .collect();
-    assert!(full.len() < 8, "its backlog is never full");
-    (listener, full)
-}
-
 /// It has been picked for a box, and the connection there is not up yet. Then it comes up. Whether the settings allow
 /// attempts to be called off or not: nothing has gone out that could be.
 #[test]
@@ -127,7 +113,7 @@
     let cases =
         [(true, How::Closes, AHEAD[0]), (false, How::Resets, AHEAD[1]), (false, How::EndsSending, AHEAD[3])];
     for (cancel, how, ahead) in cases {
-        let (backend, full) = late();
+        let (backend, full) = Listener::full();
         let discovery = Listener::new();
         let known = list(1, true, &[("s-1", backend.address(), "east", "in_service")]);
         let node = Node::start(&config(discovery.address(), &known, |c| {
--- a/crates/marlwinch/tests/peers/mod.rs
+++ b/crates/marlwinch/tests/peers/mod.rs
@@ -253,6 +253,20 @@
     pub fn new() -> Self {
         Listener(TcpListener::bind("127.0.0.1:0").expect("a port"))
     }
+    /// One whose queue is full: the system takes no more connections until somebody takes these, and whoever tries is answered
+    /// a second later.
+    pub fn full() -> (Self, Vec<TcpStream>) {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("a backlog");
+        let listener = Listener(socket.into());
+        let patience = Duration::from_millis(200);
+        let full: Vec<_> =
+            (0..8).map_while(|_| TcpStream::connect_timeout(&listener.address(), patience).ok()).collect();
+        assert!(full.len() < 8, "its backlog is never full");
+        (listener, full)
+    }
     pub fn address(&self) -> SocketAddr {
         self.0.local_addr().expect("an address")
     }
@@ -313,12 +327,6 @@
     }
 }
 
-impl From<socket2::Socket> for Listener {
-    fn from(socket: socket2::Socket) -> Self {
-        Listener(socket.into())
-    }
-}
-
 /// A message: its first line, its header lines in lower case, its body.
 #[derive(Debug)]
 pub struct Message {
@@ -376,6 +384,16 @@
              {key}{length}{more}\r\n{body}"
         ));
     }
+    /// Asks of a class, where the connection may have been closed meanwhile; `None` if it was.
+    pub fn try_request(&mut self, class: &str) -> Option<Message> {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let id = NEXT.fetch_add(1, Ordering::Relaxed);
+        let text = format!(
+            "GET /{class}/7f3a HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: try-{id}\r\nX-Account: acme\r\n\r\n"
+        );
+        self.stream.write_all(text.as_bytes()).ok()?;
+        self.try_read()
+    }
     /// Answers with a status, header lines and a body.
     pub fn answer(&mut self, status: &str, more: &str, body: &str) {
         self.write(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{more}\r\n{body}", body.len()));
