--- a/crates/larchspread/tests/endings.rs
+++ b/crates/larchspread/tests/endings.rs
@@ -111,3 +111,28 @@
     assert!(is_sent(&at(&mut balancer, 50, request(2))));
     assert!(!is_sent(&at(&mut balancer, 60, ended(2, 0, Outcome::ConnectFailed))));
 }
+
+/// The group of a keyed request that may have run drains while it is out: it fails at once when its attempt breaks, with no
+/// promise, and goes to no other group.
+#[test]
+fn a_keyed_request_whose_group_has_drained_fails_at_once() {
+    let mut balancer = balancer(Repeat::Keyed { scope: Scope::Zone, window: ms(5000) }, 1);
+    assert!(is_sent(&at(&mut balancer, 10, request(1))));
+    let entry = |id, zone, state| ServerEntry {
+        id: ServerId(id),
+        zone,
+        kind: 0,
+        cell: 0,
+        state,
+        weight: 1.0,
+        started: None,
+    };
+    let entries = vec![
+        entry(1, 0, ServerState::Draining),
+        entry(2, 0, ServerState::Draining),
+        entry(3, 1, ServerState::Ready),
+    ];
+    at(&mut balancer, 20, Event::List { kind: ListKind::Changes, version: 2, entries });
+    let actions = at(&mut balancer, 30, ended(1, 0, Outcome::Reset));
+    assert!(actions.iter().any(|a| matches!(a, Action::Fail { .. })) && !is_sent(&actions), "{actions:?}");
+}
--- a/crates/marlwinch/tests/bodies.rs
+++ b/crates/marlwinch/tests/bodies.rs
@@ -59,8 +59,7 @@
         // The connection is used again until it closes.
         client.request("correct", "", "x");
         if end == 2 {
-            let mut other = backend.accept();
-            other.read();
+            let mut other = backend.next_request(&mut Vec::new());
             other.answer("200 OK", "", "done");
         }
     }
@@ -214,8 +213,7 @@
     });
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     // It goes on for longer than the class's aim, and never stops for long.
     let begun = std::time::Instant::now();
--- a/crates/marlwinch/tests/data_path.rs
+++ b/crates/marlwinch/tests/data_path.rs
@@ -127,8 +127,7 @@
     let node = node(&[&backend], "", "");
     let mut client = node.client();
     get(&mut client, "/events");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     // The head comes before there is anything behind it.
     let head = read_until(&mut client, "\r\n\r\n");
@@ -169,8 +168,7 @@
         let node = node(&[&backend], "retry-on = [\"never-ran\"]", "");
         let mut client = node.client();
         get(&mut client, "/");
-        let mut peer = backend.accept();
-        peer.read();
+        let mut peer = backend.next_request(&mut Vec::new());
         peer.write(cut);
         if cut.len() > head.len() {
             read_until(&mut client, "he");
@@ -193,8 +191,7 @@
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
     let mut stopped = node.client();
     get(&mut stopped, "/");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.write(head);
     let begun = Instant::now();
     let (all, _) = stopped.read_to_end();
@@ -204,8 +201,7 @@
     // One that never ends: it says something all the time.
     let mut endless = node.client();
     get(&mut endless, "/");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.write(head);
     let writer = std::thread::spawn(move || {
         let begun = Instant::now();
@@ -532,8 +528,7 @@
     for why in ["idle", "drain", "end"] {
         let mut client = node.client();
         client.write(ASK);
-        let mut peer = backend.accept();
-        peer.read();
+        let mut peer = backend.next_request(&mut Vec::new());
         peer.write(SWITCH);
         read_until(&mut client, "\r\n\r\n");
         // A side that speaks all the time.
--- a/crates/marlwinch/tests/endings.rs
+++ b/crates/marlwinch/tests/endings.rs
@@ -26,8 +26,7 @@
     let (mut node, _discovery) = node_with(&[backend.address()]);
     let mut out = node.client();
     out.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let _peer = backend.next_request(&mut Vec::new());
     // None at all: it waits for one.
     let (mut other, _other_discovery) = node_with(&[]);
     let mut waits = other.client();
@@ -114,8 +113,7 @@
     let mut client = node.client();
     socket2::SockRef::from(&client.stream).set_recv_buffer_size(4096).expect("a socket");
     client.request("look", "Connection: close\r\n", "");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     // More than the node reads for itself: what its system holds unread at the close would break the connection.
     client.write("x".repeat(200_000));
     let body = "y".repeat(60_000);
@@ -146,8 +144,7 @@
     let mut node = Node::start(&text);
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     node.terminate();
     node.logged("told to end");
     node.terminate();
--- a/crates/marlwinch/tests/leaving.rs
+++ b/crates/marlwinch/tests/leaving.rs
@@ -28,14 +28,18 @@
     [("", 0), ("GET /look/7f", 1), ("POST /correct/a HTTP/1.1\r\nX: y\r\n", 1), ("x", 300_000)];
 
 /// Sends a request that is never to be seen by a box, and what comes behind it.
-fn ask(node: &Node, class: &str, (ahead, times): (&str, usize)) -> Peer {
+fn ask(node: &Node, class: &str, ahead: (&str, usize)) -> Peer {
     let mut client = node.client();
     client.request(class, "X-Correlation-Id: left\r\n", "x");
+    send_ahead(&mut client, ahead);
+    client
+}
+
+fn send_ahead(client: &mut Peer, (ahead, times): (&str, usize)) {
     // As much as the node's system takes: it may read none of it.
     client.stream.set_nonblocking(true).expect("a socket");
     let _ = std::io::Write::write(&mut client.stream, ahead.repeat(times).as_bytes());
     client.stream.set_nonblocking(false).expect("a socket");
-    client
 }
 
 /// Leaves. What is returned holds a socket open that is still the client's.
@@ -147,15 +151,14 @@
                 c["settings"]["Classes"][2]["GiveUp"] = 90_000.0.into();
             }));
             let client = ask(&node, "correct", ahead);
-            let mut peer = backend.accept();
-            assert_eq!(peer.read().header("x-correlation-id"), Some("left"));
+            let (request, mut peer) = backend.next_message(&mut Vec::new());
+            assert_eq!(request.header("x-correlation-id"), Some("left"));
             let rest = leave(client, how);
             peer.expect_end();
             // Its id is free again.
             let mut again = node.client();
             again.request("correct", "X-Correlation-Id: left\r\n", "x");
-            let mut peer = backend.accept();
-            peer.read();
+            let mut peer = backend.next_request(&mut Vec::new());
             peer.answer("200 OK", "", "done");
             assert_eq!(again.read().status(), 200);
             drop(rest);
@@ -163,6 +166,46 @@
     }
 }
 
+/// It waits for a place that its class allows only one request at a time. Then the place is free.
+#[test]
+fn what_waits_in_a_queue_is_not_sent_once_its_client_has_left() {
+    for how in HOWS {
+        for (ahead, times) in AHEAD {
+            let backend = Listener::new();
+            let node = Node::from_file(&format!(
+                "[[listener]]\naddress = \"127.0.0.1:0\"\n[[cluster]]\nname = \"b\"\n[[cluster.box]]\n\
+                 name = \"b-1\"\naddress = \"{}\"\n[[class]]\nname = \"c\"\nrepeat = \"safe\"\ntime = \"25s\"\n\
+                 in-hand = 1\nqueue = {{ length = 9, time = \"20s\" }}\n\
+                 [[route]]\nprefix = \"/\"\nclass = \"c\"\ncluster = \"b\"\n",
+                backend.address()
+            ));
+            let get = |id: &str| {
+                let mut client = node.client();
+                client.write(format!("GET /{id} HTTP/1.1\r\nHost: a\r\n\r\n"));
+                client
+            };
+            let mut first = get("first");
+            let mut peer = backend.next_request(&mut Vec::new());
+            let mut leaves = get("leaves");
+            send_ahead(&mut leaves, (ahead, times));
+            // It is in the queue by the time at which one that comes behind it is refused or taken.
+            let mut stays = get("stays");
+            let mut fence = node.client();
+            fence.write("BREW / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n");
+            assert_eq!(fence.read().status(), 400);
+            let rest = leave(leaves, how);
+            std::thread::sleep(TERM);
+            peer.answer("200 OK", "", "done");
+            assert_eq!(first.read().status(), 200);
+            let mut peers = vec![peer];
+            let mut peer = backend.next_request_of(&mut peers, "GET /stays HTTP/1.1");
+            peer.answer("200 OK", "", "done");
+            assert_eq!(stays.read().status(), 200);
+            drop(rest);
+        }
+    }
+}
+
 /// Hundreds at once, at drawn times around the moment at which a box comes on the list: whoever left long enough before
 /// is not sent on, and all that they held is free again.
 #[test]
--- a/crates/marlwinch/tests/node.rs
+++ b/crates/marlwinch/tests/node.rs
@@ -33,8 +33,7 @@
 /// The same where the request must come on a new connection, which is returned.
 fn serve_anew(backend: &Listener, client: &mut Peer) -> Peer {
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.answer("200 OK", "", "done");
     assert_eq!(client.read().status(), 200);
     peer
@@ -182,8 +181,7 @@
         let node = Node::start(&config(discovery.address(), &known, change));
         let mut client = node.client();
         client.request("correct", "", "x");
-        let mut peer = backend.accept();
-        peer.read();
+        let mut peer = backend.next_request(&mut Vec::new());
         peer.write(part);
         // 504 would mean that the time was up.
         assert_eq!(client.read().status(), 502);
@@ -197,8 +195,7 @@
     let (node, _discovery) = node_with(&[&backend]);
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
     peer.answer("200 OK", "", "done");
     assert_eq!(client.read().body, b"done");
@@ -214,8 +211,7 @@
         let mut client = node.client();
         for apart in [false, true, false, true] {
             client.request("correct", "", "x");
-            let mut peer = backend.accept();
-            peer.read();
+            let mut peer = backend.next_request(&mut Vec::new());
             let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
             if apart {
                 peer.write(answer);
@@ -258,8 +254,7 @@
     let mut client = node.client();
     for _ in 0..5 {
         client.request("correct", "", "x");
-        let mut peer = backend.accept();
-        peer.read();
+        let mut peer = backend.next_request(&mut Vec::new());
         peer.answer("200 OK", "", "done");
         // Before the client knows of the answer the connection has ended.
         drop(peer);
@@ -273,8 +268,7 @@
     let (node, _discovery) = node_with(&[&backend]);
     let mut client = node.client();
     client.request("correct", "X-Time-Left: 0.3\r\n", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     let answer = client.read();
     assert_eq!((answer.status(), answer.header("retry-after")), (504, None));
     peer.expect_end();
@@ -286,15 +280,13 @@
     let (node, _discovery) = node_with(&[&backend]);
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     drop(client);
     peer.expect_end();
     // The node goes on.
     let mut client = node.client();
     client.request("look", "", "");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.answer("200 OK", "", "still here");
     assert_eq!(client.read().body, b"still here");
 }
@@ -306,11 +298,9 @@
     let mut watch = begin_watch(&discovery, 41);
     let (mut busy, mut idle) = (node.client(), node.client());
     busy.request("correct", "", "long");
-    let mut working = old.accept();
-    working.read();
+    let mut working = old.next_request(&mut Vec::new());
     idle.request("correct", "", "short");
-    let mut resting = old.accept();
-    resting.read();
+    let mut resting = old.next_request(&mut Vec::new());
     resting.answer("200 OK", "", "done");
     assert_eq!(idle.read().status(), 200);
 
@@ -459,8 +449,7 @@
     let (mut node, _discovery) = node_with(&[&backend]);
     let (mut busy, mut idle) = (node.client(), node.client());
     idle.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.answer("200 OK", "", "done");
     assert_eq!(idle.read().header("connection"), None);
     busy.request("correct", "", "x");
@@ -470,8 +459,7 @@
     // It still takes what comes, ...
     let mut late = node.client();
     late.request("correct", "", "x");
-    let mut second = backend.accept();
-    second.read();
+    let mut second = backend.next_request(&mut Vec::new());
     second.answer("200 OK", "", "late");
     let answer = late.read();
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
@@ -581,8 +569,7 @@
     watch.line(&list(42, false, &[("s-1", new.address(), "east", "in_service")]));
     peer.expect_end();
     client.request("correct", "", "x");
-    let mut peer = new.accept();
-    peer.read();
+    let mut peer = new.next_request(&mut Vec::new());
     peer.answer("200 OK", "", "moved");
     assert_eq!(client.read().body, b"moved");
 }
@@ -653,8 +640,7 @@
     let (node, _discovery) = node_with(&[&backend]);
     let (mut first, mut second) = (node.client(), node.client());
     first.request("correct", "X-Correlation-Id: 9b1f\r\n", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     second.request("correct", "X-Correlation-Id: 9b1f\r\n", "x");
     assert_eq!(second.read().status(), 409);
     peer.answer("200 OK", "", "done");
--- a/crates/marlwinch/tests/peers/mod.rs
+++ b/crates/marlwinch/tests/peers/mod.rs
@@ -304,6 +304,15 @@
     /// Waits for a request on one of these connections, which are still open, or on a new one. The connection it came on is
     /// taken out of them.
     pub fn next_request(&self, peers: &mut Vec<Peer>) -> Peer {
+        self.next_message(peers).1
+    }
+    /// The same, where it must begin so.
+    pub fn next_request_of(&self, peers: &mut Vec<Peer>, first: &str) -> Peer {
+        let (message, peer) = self.next_message(peers);
+        assert_eq!(message.first, first);
+        peer
+    }
+    pub fn next_message(&self, peers: &mut Vec<Peer>) -> (Message, Peer) {
         let begun = Instant::now();
         self.0.set_nonblocking(true).expect("a socket");
         loop {
@@ -313,8 +322,7 @@
             }
             if let Some(at) = peers.iter().position(Peer::has_more) {
                 let mut peer = peers.swap_remove(at);
-                peer.read();
-                return peer;
+                return (peer.read(), peer);
             }
             assert!(begun.elapsed() < LONG, "nobody asks");
             std::thread::sleep(Duration::from_millis(1));
--- a/crates/marlwinch/tests/service.rs
+++ b/crates/marlwinch/tests/service.rs
@@ -78,8 +78,7 @@
 
     let mut client = node.client();
     client.request("look", "", "");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     until(console, |f| f["active"] == 1 && f["tries"] == 1 && f["pool_size"] == 1);
     peer.answer("200 OK", "", "seen");
     assert_eq!(client.read().status(), 200);
@@ -102,8 +101,7 @@
     let console = console(&node);
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let peer = backend.next_request(&mut Vec::new());
 
     // `correct` goes, `audit` comes, and `look` is an unsafe one from now on.
     let others = |config: &mut serde_json::Value| {
--- a/crates/marlwinch/tests/watches.rs
+++ b/crates/marlwinch/tests/watches.rs
@@ -25,8 +25,7 @@
 fn served_anew(node: &Node, backend: &Listener) -> Peer {
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.answer("200 OK", "", "done");
     assert_eq!(client.read().status(), 200);
     peer
@@ -189,8 +188,7 @@
     });
     let mut client = node.client();
     client.request("correct", "", "x");
-    let mut peer = backend.accept();
-    peer.read();
+    let mut peer = backend.next_request(&mut Vec::new());
     peer.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndo");
     std::thread::sleep(Duration::from_millis(300));
     peer.write("ne");
