End the demonstration on SIGINT and SIGTERM, however it was started

Followed by hand: a demonstration behind `trap '' INT`, which is how a shell without job control starts what runs in the background, shows bit 2 in SigIgn of /proc/PID/status and goes on after SIGINT; with the default disposition it ends. With SIGTERM it never ended at all.

Cause: command/demo.rs left SIGINT to whatever disposition it was started with, and platform/run.rs, which runs as a part of it, takes SIGTERM for the end of its node alone.

Change: the demonstration hears both itself, before anything else, and ends with 130 or 143. The test starts it ignoring SIGINT too.

--- a/crates/marlwinch/src/command/demo.rs
+++ b/crates/marlwinch/src/command/demo.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::channel;
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
 const BOXES: &str = include_str!("../../../../deploy/demo/boxes.toml");
@@ -74,6 +75,29 @@
     tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
 }
 
+/// From now on SIGINT and SIGTERM end the process, with all that runs in it. Neither does by itself: whoever starts the
+/// process in the background may have it ignore SIGINT, and the node takes SIGTERM for its own end alone.
+fn end_on_signals() -> Result<(), String> {
+    on_thread("signals", move |tell| {
+        let wait = || -> Result<(), String> {
+            runtime()?.block_on(async {
+                let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+                let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+                let _ = tell.send(Ok(()));
+                let number = tokio::select! {
+                    _ = interrupt.recv() => SignalKind::interrupt(),
+                    _ = terminate.recv() => SignalKind::terminate(),
+                };
+                // What a shell says of a process that such a signal ended.
+                std::process::exit(128 + number.as_raw_value())
+            })
+        };
+        if let Err(e) = wait() {
+            let _ = tell.send(Err(e));
+        }
+    })
+}
+
 /// Starts the boxes and discovery; they end with the process.
 fn start_world(script: Script) -> Result<Arc<World>, String> {
     on_thread("boxes", move |tell| {
@@ -154,6 +178,7 @@
 
 /// Plays the evening. Returns whether the rules were kept and the run says something.
 pub fn main(asked: &DemoArguments) -> Result<bool, String> {
+    end_on_signals()?;
     let script = Script::read(BOXES).map_err(|e| e.to_string())?;
     let mut plan = Plan::read(EVENING).map_err(|e| e.to_string())?;
     plan.schedule.length = Duration::from_secs(asked.seconds);
--- a/crates/marlwinch/tests/demo.rs
+++ b/crates/marlwinch/tests/demo.rs
@@ -67,12 +67,12 @@
     assert_eq!(std::fs::read_dir(&folder.0).expect("a folder").count(), 0, "it leaves files");
 }
 
-#[test]
-fn ctrl_c_ends_the_demonstration_at_once() {
-    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+/// Starts the demonstration behind `before`, sends it a signal while it goes on, and returns how it ended.
+fn signalled(before: &str, signal: &str) -> Option<i32> {
     let folder = Folder::new("interrupted");
-    let mut child = program()
-        .args(["demo", "--seconds", "600"])
+    let mut child = Command::new("sh")
+        .args(["-c", &format!("{before}exec \"$0\" demo --seconds 600"), env!("CARGO_BIN_EXE_marlwinch")])
+        .env("NO_COLOR", "1")
         .env("TMPDIR", &folder.0)
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
@@ -80,14 +80,34 @@
         .expect("the program starts");
     let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
     while !lines.next().expect("it goes on").expect("a line").contains("held by each box") {}
-    let kill = Command::new("sh").args(["-c", &format!("kill -INT {}", child.id())]).status();
+    let kill = Command::new("sh").args(["-c", &format!("kill -{signal} {}", child.id())]).status();
     assert!(kill.expect("a shell").success());
     let begun = Instant::now();
-    while child.try_wait().expect("its state").is_none() {
-        assert!(begun.elapsed() < Duration::from_secs(10), "it does not end");
+    let ended = loop {
+        if let Some(status) = child.try_wait().expect("its state") {
+            break status;
+        }
+        if begun.elapsed() > Duration::from_secs(10) {
+            child.kill().and_then(|()| child.wait()).expect("it is killed");
+            panic!("{before}{signal}: it does not end");
+        }
         std::thread::sleep(Duration::from_millis(5));
-    }
+    };
     assert_eq!(std::fs::read_dir(&folder.0).expect("a folder").count(), 0, "it leaves files");
+    ended.code()
+}
+
+#[test]
+fn ctrl_c_ends_the_demonstration_at_once() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    assert_eq!(signalled("", "INT"), Some(130));
+}
+
+#[test]
+fn a_signal_ends_it_also_where_its_shell_has_it_ignore_ctrl_c_and_where_the_node_hears_it_first() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    assert_eq!(signalled("trap '' INT; ", "INT"), Some(130), "as a shell starts what runs in the background");
+    assert_eq!(signalled("", "TERM"), Some(143));
 }
 
 #[test]
