Keep each server's place over all lists, so that a node goes on meeting the same ones

Cause: candidates() keeps to the first of `ready`, but three places put `ready` in another order: Fleet::insert gave each entry of a list a random place anew, and where lists carry weights that change all entries come every second; all_gone() before a whole list emptied it; Fleet::draw swapped servers through the whole fleet for probes. Further attempts went to all.

Change: a server's place is drawn once and kept for as long as it is known. Probes and further attempts stay in the part that first attempts go to; whatever finds nobody usable there has the whole fleet.

--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -402,15 +402,20 @@
         }
     }
 
-    /// The servers to choose from: those heard from lately, else a part of the fleet (subsetting), and
-    /// all for a further attempt, which may be bound to a group. The ejected are used if no other is left.
-    fn candidates(&mut self, id: RequestId) -> Vec<ServerId> {
-        let Some(request) = self.requests.get(&id) else { return Vec::new() };
-        // Each is to be met twice in the span in which load is judged, or no count ever meets an idle sign.
+    /// The part of the fleet that this node keeps to with its sends and its probes (subsetting). Each server of it is
+    /// to be met twice in the span in which load is judged, or no count ever meets an idle sign. It stays the same
+    /// while the list does: whoever meets others each time has every connection opened anew, and servers hold only so
+    /// many.
+    fn subset(&self) -> &[ServerId] {
         let span = self.settings.rules.overload_time.as_secs_f64();
         let met = (self.traffic.since_start(self.now, span.max(1.0)) * span / 2.0) as usize;
-        let most = if request.attempts.is_empty() { met.max(FEWEST) } else { usize::MAX };
-        let most = most.min(self.fleet.ready.len());
+        &self.fleet.ready[..met.max(FEWEST).min(self.fleet.ready.len())]
+    }
+
+    /// The servers to choose from: those heard from lately, else a part of the fleet, or all of it where nobody of
+    /// that part may be sent to. The ejected are used if no other is left.
+    fn candidates(&mut self, id: RequestId) -> Vec<ServerId> {
+        let Some(request) = self.requests.get(&id) else { return Vec::new() };
         let permitted = |id: &ServerId| self.fleet.get(id).is_some_and(|s| self.permitted(s, request));
         let healthy = |id: &ServerId| self.healthy(&self.fleet[id]);
         let mut heard = self.fleet.heard.clone();
@@ -418,11 +423,9 @@
         if !heard.is_empty() {
             return heard;
         }
-        let told = self.settings.crowding == Crowding::Told;
         let usable = |id: &ServerId| permitted(id) && healthy(id) && self.fleet[id].has_room();
-        let full = told && !self.fleet.ready[..most].iter().any(usable);
-        let most = if full { self.fleet.ready.len() } else { most };
-        let mut looked_at = self.fleet.ready[..most].to_vec();
+        let subset = self.subset();
+        let mut looked_at = if subset.iter().any(usable) { subset } else { &self.fleet.ready }.to_vec();
         looked_at.retain(permitted);
         let (healthy, ejected): (Vec<_>, _) = looked_at.into_iter().partition(healthy);
         if healthy.is_empty() { ejected } else { healthy }
@@ -727,8 +730,9 @@
     fn probe(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let most = 2.min(self.probe_tokens as usize);
         let (mut asked, mut looked_at) = (0, 0);
-        while asked < most && looked_at < self.fleet.ready.len() {
-            let drawn = self.fleet.draw(looked_at);
+        let mut subset = self.subset().to_vec();
+        while asked < most && looked_at < subset.len() {
+            let drawn = self.fleet.draw(looked_at, &mut subset);
             looked_at += 1;
             let (Some(request), server) = (self.requests.get(&id), &self.fleet[&drawn]) else { break };
             let unknown = !server.probing && self.fresh_load(server).is_none();
@@ -787,7 +791,8 @@
             if server.entry.id != entry.id || server.entry.started != entry.started {
                 // Cold servers start with a random part of a request, lest all nodes send one at once.
                 let credit = Tokens::new(self.fleet.random(), self.now);
-                server = Server { out: server.out, room: server.room, credit, ..Server::default() };
+                let Server { out, room, place, .. } = server;
+                server = Server { out, room, place, credit, ..Server::default() };
             }
             let mut server = Server { entry, ..server };
             self.weights.introduce(&mut server);
--- a/crates/larchspread/src/state.rs
+++ b/crates/larchspread/src/state.rs
@@ -11,6 +11,8 @@
 #[derive(Default)]
 pub struct Server {
     pub entry: ServerEntry,
+    /// Where it stands among the ready: drawn once, and its own over all lists that name it.
+    pub place: Option<u32>,
     /// Join-Up-To(m)'s estimate: own sends since it last showed idle.
     pub count: u32,
     pub idle_at: Option<Duration>,
@@ -301,7 +303,7 @@
 /// and the node's random numbers.
 pub struct Fleet {
     servers: BTreeMap<ServerId, Server>,
-    /// Those that are ready, in no order.
+    /// Those that are ready, in the order of their places: the first of them are the part that a node keeps to.
     pub ready: Vec<ServerId>,
     /// Those of the ready that have not been seen to be warm.
     pub cold: Vec<ServerId>,
@@ -340,13 +342,12 @@
         self.servers.entry(id).and_modify(how);
     }
     /// Takes a server in, unless it is gone and nothing is out there.
-    pub fn insert(&mut self, server: Server) {
+    pub fn insert(&mut self, mut server: Server) {
         let entry = server.entry;
+        let place = Some(*server.place.get_or_insert_with(|| self.rng.next_u32()));
         if entry.state == ServerState::Ready {
-            let place = (self.random() * (self.ready.len() + 1) as f64) as usize;
-            self.ready.push(entry.id);
-            let last = self.ready.len() - 1;
-            self.ready.swap(place.min(last), last);
+            let at = self.ready.partition_point(|id| self.servers[id].place <= place);
+            self.ready.insert(at, entry.id);
             self.cold.extend(entry.started.map(|_| entry.id));
         }
         if entry.state != ServerState::Gone || server.out > 0 {
@@ -418,11 +419,11 @@
         });
         ids.get(at.unwrap_or(ids.len() - 1)).copied()
     }
-    /// Draw number `i` of a series without repeats, from the ready, which it puts in another order.
-    pub fn draw(&mut self, i: usize) -> ServerId {
-        let other = i + (self.random() * (self.ready.len() - i) as f64) as usize;
-        self.ready.swap(i, other);
-        self.ready[i]
+    /// Draw number `i` of a series without repeats, which it puts in another order.
+    pub fn draw(&mut self, i: usize, among: &mut [ServerId]) -> ServerId {
+        let other = i + (self.random() * (among.len() - i) as f64) as usize;
+        among.swap(i, other);
+        among[i]
     }
 }
 
