Write a keyed repeat whole within its window or not at all, however late its connection comes up

Lines: send() in turn/open.rs and exchange() in boxes/backends.rs: the permit of a first byte had the attempt's deadline, not the window; repeat_allows() in the module asks at the pick.

Change: an attempt has two times, by when its request has to be out whole (a box counts it from its last byte) and by when its answer has to be there. For a repeat of what may have run the first is the window's end. What is not out whole by then has not run there, ends as never sent, and the client is told at once.

Result: a_repeat_whose_connection_comes_up_after_its_window_is_not_written fails on the code before ("it is written after its window") and passes now.

--- a/crates/marlwinch/src/boxes/backends.rs
+++ b/crates/marlwinch/src/boxes/backends.rs
@@ -1,7 +1,7 @@
 //! The backends' side: connections to each of them, one attempt or probe on one, how it ended, load reports.
 
 use crate::boxes::driver::Driver;
-use crate::boxes::payload::{Ended, Patience, Payload, Reply, ReplyBody};
+use crate::boxes::payload::{Due, Ended, Patience, Payload, Reply, ReplyBody};
 use crate::boxes::permit::{Permit, Serving, Wanted};
 use crate::boxes::pool::{Connection, Counters, OpenOne, Pool, Pools, Sockets, keep};
 use crate::boxes::reading::{broke_off, framed, load_report};
@@ -202,10 +202,10 @@
         }
     }
 
-    /// Sends a request to a backend and waits for what comes back, until `deadline` at the latest. A request whose
-    /// last byte was not written by then has certainly not run; of any other that can't be said.
-    pub async fn attempt(&self, server: ServerId, payload: &Payload, deadline: Instant) -> Ended {
-        let left = deadline.saturating_duration_since(Instant::now());
+    /// Sends a request to a backend and waits for what comes back, for as long as is `due`. A request whose last byte was
+    /// not written by then has certainly not run; of any other that can't be said.
+    pub async fn attempt(&self, server: ServerId, payload: &Payload, due: Due) -> Ended {
+        let left = due.answered.saturating_duration_since(Instant::now());
         let mut headers = payload.headers.clone();
         // Digits and a point are a header value in every case.
         if let Ok(left) = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64())) {
@@ -229,7 +229,7 @@
             upgrade: payload.upgrade,
         };
         let wanted = payload.wanted.clone();
-        self.exchange(server, request, expects, (deadline, wanted), patience, payload.tries.as_ref()).await
+        self.exchange(server, request, expects, (due, wanted), patience, payload.tries.as_ref()).await
     }
 
     /// Asks a backend for its load. The time for a connection is also that for the answer.
@@ -241,7 +241,8 @@
             request
         };
         let deadline = Instant::now() + self.probe_timeout.get();
-        let (until, patience) = ((deadline, Wanted::default()), self.patience.get());
+        let due = Due { whole: deadline, answered: deadline };
+        let (until, patience) = ((due, Wanted::default()), self.patience.get());
         let mut ended = self.exchange(server, request, Expects::default(), until, patience, None).await;
         if let (None, Some(Reply { body: ReplyBody::Held(body), .. })) = (&ended.report, &ended.reply) {
             ended.report = self.report(body);
@@ -254,14 +255,14 @@
         server: ServerId,
         request: impl Fn() -> Request<Outgoing>,
         expects: Expects<'_>,
-        (deadline, wanted): (Instant, Wanted),
+        (due, wanted): (Due, Wanted),
         patience: Patience,
         tries: Option<&Rc<Cell<u64>>>,
     ) -> Ended {
         let serving = self.pools.borrow().get(&server).map(|pool| pool.serving.clone());
         // An id that the list no longer has was never sent to.
         let Some(serving) = serving else { return Ended::bare(Outcome::NotSent) };
-        let permit = Permit { not_after: deadline, wanted, serving };
+        let permit = Permit { not_after: due.whole, wanted, serving };
         // What has become of the request stays known when the time is up and the rest is dropped.
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::default();
         let picked = self.pauses.count();
@@ -307,7 +308,7 @@
                 };
                 match answer {
                     Ok(answer) => {
-                        let until = (deadline, patience);
+                        let until = (due.answered, patience);
                         return tokio::select! {
                             biased;
                             ended = self.answered(server, connection, answer, expects, until) => ended,
@@ -336,7 +337,10 @@
         };
         // Both the work and its connection are gone once this returns, so that no further byte gets written.
         let mut work = pin!(work);
-        let mut ended = timeout_at(deadline, &mut work).await;
+        let mut ended = timeout_at(due.whole, &mut work).await;
+        if ended.is_err() && progress.borrow().as_ref().is_some_and(|progress| progress.is_complete()) {
+            ended = timeout_at(due.answered, &mut work).await;
+        }
         if ended.is_err() && self.pauses.look() {
             // The answer may have come while the process was not running: it is read before its time counts as over.
             self.pauses.settled().await;
--- a/crates/marlwinch/src/boxes/payload.rs
+++ b/crates/marlwinch/src/boxes/payload.rs
@@ -11,6 +11,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// What goes to a backend: a client's request, whole, with the headers that are passed on.
 #[derive(Debug)]
@@ -59,6 +60,16 @@
     }
 }
 
+/// Until when an attempt may go on.
+#[derive(Clone, Copy, Debug)]
+pub struct Due {
+    /// Its request is out whole by then, or no more of it goes out: a box counts an attempt from its last byte on, and may
+    /// no longer know by then of one that it has run.
+    pub whole: Instant,
+    /// Its answer is there by then, or is waited for no longer.
+    pub answered: Instant,
+}
+
 /// A backend's answer to a request.
 #[derive(Debug)]
 pub struct Reply {
--- a/crates/marlwinch/src/turn/open.rs
+++ b/crates/marlwinch/src/turn/open.rs
@@ -2,7 +2,7 @@
 //! module's.
 
 use crate::boxes::backends::Backends;
-use crate::boxes::payload::{Payload, Reply};
+use crate::boxes::payload::{Due, Payload, Reply};
 use crate::turn::event::{NodeEvent, Owed};
 use exchange::attempt::{self, Kept};
 use larchspread::{AttemptEnd, Event, Outcome, Repeat, RequestId, ServerId};
@@ -78,9 +78,18 @@
             report: None,
         }));
     }
+    // The module looks at the window of a key when it picks. A connection that takes its time to come up would take the
+    // attempt past it.
+    let may_have_run = |a: &&Attempt| a.outcome.is_none_or(|outcome| !outcome.never_ran());
+    let remembered = match (request.repeat, request.attempts.iter().find(may_have_run)) {
+        (Repeat::Keyed { window, .. }, Some(first)) => first.sent.checked_add(window),
+        _ => None,
+    };
+    let answered = sent + within;
+    let due = Due { whole: remembered.map_or(answered, |until| until.min(answered)), answered };
     let (backends, events, payload) = (backends.clone(), events.clone(), request.payload.clone());
     let task = spawn_local(async move {
-        let ended = backends.attempt(server, &payload, sent + within).await;
+        let ended = backends.attempt(server, &payload, due).await;
         let _ = events.send(NodeEvent::AttemptEnded { id, attempt, ended });
     });
     let task = Some(task.abort_handle());
--- /dev/null
+++ b/crates/marlwinch/tests/repeats.rs
@@ -0,0 +1,59 @@
+//! Requests with a key that may have run: boxes drop their repeats, but only those of a group and only for a while.
+
+mod peers;
+
+use peers::{LONG, Listener, Node, Peer, config, list};
+use std::time::{Duration, Instant};
+
+/// A first box breaks under a request of which it has had all, and the connection to the only other one does not come up
+/// until the boxes have forgotten the key: nothing is written there then, and the client is told before.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_written() {
+    let (first, (second, full)) = (Listener::new(), Listener::full());
+    let discovery = Listener::new();
+    let known = list(41, true, &[("s-1", first.address(), "east", "in_service")]);
+    let node = Node::start(&config(discovery.address(), &known, |c| {
+        c["settings"]["Classes"][1]["Window"] = 500.0.into();
+    }));
+    let mut watch = discovery.accept();
+    watch.read();
+    watch.begin_watch();
+    watch.line("");
+    let mut client = node.client();
+    client.request("submit", "", "x");
+    let mut peer = first.next_request(&mut Vec::new());
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+    let both =
+        [("s-1", first.address(), "east", "in_service"), ("s-2", second.address(), "east", "in_service")];
+    client.request("submit", "", "x");
+    let peer = first.next_request(&mut vec![peer]);
+    watch.line(&list(42, false, &both));
+    // It knows the list once it asks for what comes after it.
+    drop(watch);
+    let mut watch = discovery.accept();
+    assert!(watch.read().first.contains("from=42 "));
+    drop(peer);
+    // Its window is over, and the connections come up.
+    std::thread::sleep(Duration::from_millis(600));
+    full.into_iter().for_each(|_| drop(second.accept()));
+    let (begun, mut peers) = (Instant::now(), Vec::new());
+    while !client.has_more() {
+        peers.extend(second.try_accept());
+        assert!(!peers.iter().any(Peer::has_more), "it is written after its window");
+        assert!(begun.elapsed() < LONG, "it has no answer");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let answer = client.read();
+    assert_eq!((answer.status(), answer.header("retry-after")), (502, None), "it may have run");
+
+    // The first request there is of somebody else.
+    watch.begin_watch();
+    watch.line(&list(43, false, &[("s-1", first.address(), "east", "terminating")]));
+    let mut other = node.client();
+    other.request("look", "", "");
+    let (request, mut peer) = second.next_message(&mut peers);
+    assert_eq!(request.first, "GET /look/7f3a?x=1 HTTP/1.1");
+    peer.answer("200 OK", "", "done");
+    assert_eq!(other.read().status(), 200);
+}
