--- a/crates/marlwinch/src/boxes/backends.rs
+++ b/crates/marlwinch/src/boxes/backends.rs
@@ -1,10 +1,11 @@
 //! The backends' side: connections to each of them, one attempt or probe on one, how it ended, load reports.
 
 use crate::boxes::driver::Driver;
-use crate::boxes::payload::{Ended, Patience, Payload, Reply, ReplyBody};
+use crate::boxes::payload::{Due, Ended, Patience, Payload, Reply, ReplyBody};
 use crate::boxes::permit::{Permit, Serving, Wanted};
 use crate::boxes::pool::{Connection, Counters, OpenOne, Pool, Pools, Sockets, keep};
 use crate::boxes::reading::{broke_off, framed, load_report};
+use crate::boxes::rest::Rest;
 use crate::boxes::watched::{Progress, Watched};
 use crate::telemetry::logging::Limited;
 use crate::turn::listing::Update;
@@ -38,9 +39,6 @@
 const PASSED_BEFORE: Duration = Duration::from_millis(30);
 /// The largest head of a message. Bounds what hyper buffers for a connection.
 pub const LARGEST_HEAD: usize = 16 << 10;
-/// How long a connection rests after an answer. What a backend sends right behind it has come by then and spoils the
-/// connection; later it could pass for the next answer.
-const REST: Duration = Duration::from_millis(3);
 /// A box with so many connections in use is asked so often that waiting for one to have rested is felt.
 const BUSY: usize = 4;
 
@@ -67,6 +65,8 @@
     /// How long a connection may take to come up, and an answer that has begun to come whole, where a request does not
     /// say: for probes.
     patience: Cell<Patience>,
+    /// How long a connection rests after an answer.
+    rest: Rc<Rest>,
     /// Idle connections are dropped after this time, well before the backend would.
     idle_after: Cell<Duration>,
     columns: RefCell<Vec<Column>>,
@@ -97,6 +97,7 @@
             passed,
             probe_timeout: Cell::new(settings.limits.connect_timeout),
             patience: Cell::new(patience(settings)),
+            rest: Rc::new(Rest::new(longest_rest(settings))),
             idle_after: Cell::new(idle_close / 2),
             columns: RefCell::new(columns),
             bad_report: Limited::default(),
@@ -110,6 +111,7 @@
     pub fn retune(&self, settings: &Settings, idle_close: Duration, columns: Vec<Column>) {
         self.probe_timeout.set(settings.limits.connect_timeout);
         self.patience.set(patience(settings));
+        self.rest.retune(longest_rest(settings));
         self.idle_after.set(idle_close / 2);
         self.columns.replace(columns);
     }
@@ -200,10 +202,10 @@
         }
     }
 
-    /// Sends a request to a backend and waits for what comes back, until `deadline` at the latest. A request whose
-    /// last byte was not written by then has certainly not run; of any other that can't be said.
-    pub async fn attempt(&self, server: ServerId, payload: &Payload, deadline: Instant) -> Ended {
-        let left = deadline.saturating_duration_since(Instant::now());
+    /// Sends a request to a backend and waits for what comes back, for as long as is `due`. A request whose last byte was
+    /// not written by then has certainly not run; of any other that can't be said.
+    pub async fn attempt(&self, server: ServerId, payload: &Payload, due: Due) -> Ended {
+        let left = due.answered.saturating_duration_since(Instant::now());
         let mut headers = payload.headers.clone();
         // Digits and a point are a header value in every case.
         if let Ok(left) = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64())) {
@@ -227,7 +229,7 @@
             upgrade: payload.upgrade,
         };
         let wanted = payload.wanted.clone();
-        self.exchange(server, request, expects, (deadline, wanted), patience, payload.tries.as_ref()).await
+        self.exchange(server, request, expects, (due, wanted), patience, payload.tries.as_ref()).await
     }
 
     /// Asks a backend for its load. The time for a connection is also that for the answer.
@@ -239,7 +241,8 @@
             request
         };
         let deadline = Instant::now() + self.probe_timeout.get();
-        let (until, patience) = ((deadline, Wanted::default()), self.patience.get());
+        let due = Due { whole: deadline, answered: deadline };
+        let (until, patience) = ((due, Wanted::default()), self.patience.get());
         let mut ended = self.exchange(server, request, Expects::default(), until, patience, None).await;
         if let (None, Some(Reply { body: ReplyBody::Held(body), .. })) = (&ended.report, &ended.reply) {
             ended.report = self.report(body);
@@ -252,14 +255,14 @@
         server: ServerId,
         request: impl Fn() -> Request<Outgoing>,
         expects: Expects<'_>,
-        (deadline, wanted): (Instant, Wanted),
+        (due, wanted): (Due, Wanted),
         patience: Patience,
         tries: Option<&Rc<Cell<u64>>>,
     ) -> Ended {
         let serving = self.pools.borrow().get(&server).map(|pool| pool.serving.clone());
         // An id that the list no longer has was never sent to.
         let Some(serving) = serving else { return Ended::bare(Outcome::NotSent) };
-        let permit = Permit { not_after: deadline, wanted, serving };
+        let permit = Permit { not_after: due.whole, wanted, serving };
         // What has become of the request stays known when the time is up and the rest is dropped.
         let progress: RefCell<Option<Rc<Progress>>> = RefCell::default();
         let picked = self.pauses.count();
@@ -305,7 +308,7 @@
                 };
                 match answer {
                     Ok(answer) => {
-                        let until = (deadline, patience);
+                        let until = (due.answered, patience);
                         return tokio::select! {
                             biased;
                             ended = self.answered(server, connection, answer, expects, until) => ended,
@@ -334,7 +337,10 @@
         };
         // Both the work and its connection are gone once this returns, so that no further byte gets written.
         let mut work = pin!(work);
-        let mut ended = timeout_at(deadline, &mut work).await;
+        let mut ended = timeout_at(due.whole, &mut work).await;
+        if ended.is_err() && progress.borrow().as_ref().is_some_and(|progress| progress.is_complete()) {
+            ended = timeout_at(due.answered, &mut work).await;
+        }
         if ended.is_err() && self.pauses.look() {
             // The answer may have come while the process was not running: it is read before its time counts as over.
             self.pauses.settled().await;
@@ -467,14 +473,15 @@
         pool.idle.retain(|(connection, since)| {
             !connection.sender.is_closed() && since.elapsed() < self.idle_after.get()
         });
+        let rest = self.rest.span();
         let rested = |(connection, since): &(Connection, Instant)| {
-            since.elapsed() >= REST && connection.sender.is_ready()
+            since.elapsed() >= rest && connection.sender.is_ready()
         };
         match pool.idle.iter().rposition(rested) {
             Some(at) => Ok(pool.idle.remove(at).0),
             None => {
                 let busy = pool.open.get().saturating_sub(pool.idle.len());
-                let mut rested = pool.idle.iter().map(|(_, since)| *since + REST);
+                let mut rested = pool.idle.iter().map(|(_, since)| *since + rest);
                 Err(rested.find(|at| *at > Instant::now()).map(|at| (at, busy)))
             }
         }
@@ -514,7 +521,7 @@
         if self.passed == Served::NoFailures {
             progress.break_off();
         }
-        let io = TokioIo::new(Watched::new(stream, progress.clone(), self.pauses.clone()));
+        let io = TokioIo::new(Watched::new(stream, progress.clone(), self.pauses.clone(), self.rest.clone()));
         let (sender, driver) =
             http1::Builder::new().max_buf_size(LARGEST_HEAD).handshake(io).await.map_err(|e| failed(&e))?;
         let (driver, raw) = if may_switch {
@@ -544,6 +551,11 @@
     }
 }
 
+/// The longest rest of a connection: whoever waits for it has most of what a connect may take left.
+fn longest_rest(settings: &Settings) -> Duration {
+    patience(settings).connect / 2
+}
+
 /// What holds where a request does not say.
 fn patience(settings: &Settings) -> Patience {
     let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(Duration::MAX);
