--- a/crates/marlwinch/tests/endings.rs
+++ b/crates/marlwinch/tests/endings.rs
@@ -157,3 +157,28 @@
     drop(client);
     assert!(node.wait().success());
 }
+
+/// A body of which half has come at SIGTERM: the rest is still read, and the request answered, as the last there.
+#[test]
+fn a_body_half_read_at_the_end_is_read_and_its_request_answered() {
+    let backend = Listener::new();
+    let (mut node, _discovery) = node_with(&[backend.address()]);
+    let mut client = node.client();
+    client.write(
+        "POST /correct/7f HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: half\r\nX-Account: acme\r\n\
+         Content-Length: 8\r\n\r\nhalf",
+    );
+    let mut fence = node.client();
+    fence.request("nothing", "", "");
+    assert_eq!(fence.read().status(), 404);
+    node.terminate();
+    node.logged("told to end");
+    client.write("half");
+    let (request, mut peer) = backend.next_message(&mut Vec::new());
+    assert_eq!(request.body, b"halfhalf");
+    peer.answer("200 OK", "", "done");
+    let answer = client.read();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    drop((client, fence));
+    assert!(node.wait().success());
+}
--- a/crates/marlwinch/tests/peers/mod.rs
+++ b/crates/marlwinch/tests/peers/mod.rs
@@ -217,6 +217,12 @@
         self.signal("HUP");
     }
 
+    /// Stops the process until what this returns is dropped: all that is done meanwhile comes to it in one turn.
+    pub fn stopped(&self) -> Stopped<'_> {
+        self.signal("STOP");
+        Stopped(self)
+    }
+
     fn signal(&self, name: &str) {
         let kill = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
         assert!(kill.expect("a shell").success());
@@ -238,6 +244,15 @@
     }
 }
 
+/// A node that does not run.
+pub struct Stopped<'n>(&'n Node);
+
+impl Drop for Stopped<'_> {
+    fn drop(&mut self) {
+        self.0.signal("CONT");
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/marlwinch/tests/watches.rs
+++ b/crates/marlwinch/tests/watches.rs
@@ -195,3 +195,42 @@
     let answer = client.read();
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
 }
+
+/// Discovery answers each watch and ends it at once: it is called again after pauses that grow, not without end.
+#[test]
+fn discovery_that_ends_each_watch_at_once_is_not_called_without_a_pause() {
+    let backend = Listener::new();
+    let (_node, discovery) = node_with(backend.address(), |_| {});
+    let (begun, mut calls) = (Instant::now(), 0u32);
+    while begun.elapsed() < Duration::from_secs(2) {
+        if let Some(mut watch) = discovery.try_accept() {
+            if watch.try_read().is_some() {
+                watch.begin_watch();
+                watch.line("");
+            }
+            calls += 1;
+        }
+        std::thread::sleep(Duration::from_micros(200));
+    }
+    // After 0.1, 0.2, 0.4 ... s.
+    assert!((2..=6).contains(&calls), "{calls} calls within 2 s");
+}
+
+/// A list that does not end: its watch is given up, and the list stays as it was.
+#[test]
+fn a_list_larger_than_any_ends_its_watch_and_changes_nothing() {
+    let backend = Listener::new();
+    let (node, discovery) = node_with(backend.address(), |_| {});
+    let mut watch = next_watch(&discovery, 41);
+    watch.begin_watch();
+    let piece = format!("{:x}\r\n{}\r\n", 1 << 16, " ".repeat(1 << 16));
+    watch.write("20\r\n{\"generation\":99,\"reset\":true, \r\n");
+    // Some more than it reads; it may be over before all of that is written.
+    for _ in 0..48 {
+        if std::io::Write::write_all(&mut watch.stream, piece.as_bytes()).is_err() {
+            break;
+        }
+    }
+    next_watch(&discovery, 41);
+    served_anew(&node, &backend);
+}
