--- a/crates/larchspread/tests/decisions.rs
+++ b/crates/larchspread/tests/decisions.rs
@@ -1,4 +1,4 @@
-//! Small tests of single decisions: the pick, each class of repeats, health, cold starts, the list.
+//! Small tests of single decisions: the pick, each class of repeats, health, too much to do.
 //! `World` checks the four rules on the side.
 
 mod world;
@@ -7,14 +7,6 @@
 use std::collections::BTreeMap;
 use world::*;
 
-fn sent_to(actions: &[Action]) -> Vec<u64> {
-    let send = |action: &Action| match action {
-        Action::Send { server, .. } => Some(server.0),
-        _ => None,
-    };
-    actions.iter().filter_map(send).collect()
-}
-
 fn probed(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Probe { .. })).count()
 }
@@ -27,16 +19,6 @@
     actions.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
 
-/// Sends a request and has it served at once, with a report of that many requests in flight.
-fn serve(world: &mut World, load: f32) -> u64 {
-    let (id, actions) = world.request(0);
-    let to = sent_to(&actions);
-    assert_eq!(to.len(), 1, "a free fleet takes a request at once: {actions:?}");
-    world.pass(ms(20));
-    world.end(id, 0, Outcome::Served, Some(load));
-    to[0]
-}
-
 // ---- The pick ---------------------------------------------------------------------------------
 
 #[test]
@@ -376,21 +358,6 @@
 
 // ---- Health -----------------------------------------------------------------------------------
 
-/// Plays requests of 30 ms for a while; `ends` says how an attempt at a server ends.
-fn play(world: &mut World, count: usize, ends: impl Fn(u64) -> Outcome) -> BTreeMap<u64, usize> {
-    let mut met = BTreeMap::new();
-    for _ in 0..count {
-        world.request(1);
-        world.pass(ms(30));
-        for (id, attempt) in world.out() {
-            let server = world.server_of(id, attempt).0;
-            *met.entry(server).or_insert(0) += 1;
-            world.end(id, attempt, ends(server), Some(0.0));
-        }
-    }
-    met
-}
-
 #[test]
 fn a_server_that_answers_fast_with_errors_wins_nothing() {
     let mut world = World::with_servers(answering(), 4);
@@ -434,81 +401,7 @@
     assert!(silent < 20, "{silent} of 200 sends to the silent server, {met:?}");
 }
 
-// ---- Drains, cold starts, the list --------------------------------------------------------------
-
-#[test]
-fn a_full_list_takes_away_what_it_omits_and_servers_may_return() {
-    let mut world = World::with_servers(answering(), 3);
-    world.list(ListKind::Full, vec![entry(1)]);
-    assert!((0..10).all(|_| sent_to(&world.request(0).1).iter().all(|s| *s == 1)));
-    world.list(ListKind::Changes, vec![entry(2), ServerEntry { state: ServerState::Draining, ..entry(1) }]);
-    assert_eq!(sent_to(&world.request(0).1), [2]);
-}
-
-#[test]
-fn a_cold_server_gets_no_more_than_its_part() {
-    // Ten warm servers carry 100 requests a second of three nodes, so a warm one has at least 10 a second.
-    let mut settings = answering();
-    settings.rules = Rules {
-        cold_share: 0.2,
-        warm_after: ms(10_000),
-        overload_factor: 4.0,
-        overload_time: ms(1500),
-        ..settings.rules
-    };
-    let mut world = World::with_servers(settings, 10);
-    let mut cold = Vec::new();
-    for step in 0..1500u64 {
-        if step == 700 {
-            let started = Some(world.now);
-            world.list(ListKind::Changes, vec![ServerEntry { started, ..entry(10) }]);
-        }
-        let (_, actions) = world.request(0);
-        cold.extend(sent_to(&actions).iter().filter(|s| **s == 10).map(|_| world.now));
-        world.pass(ms(30));
-        for (id, attempt) in world.out() {
-            world.end(id, attempt, Outcome::Served, Some(0.0));
-        }
-    }
-    assert!(!cold.is_empty(), "a cold server is used");
-    // This node sends 33 a second, 3.3 to a warm server; its third of 4 x 0.2 x 10 a second for 1.5 s is 4.
-    let start = cold[0];
-    let burst = cold.iter().filter(|at| **at < start + ms(1500)).count();
-    assert!(burst <= 4, "{burst} requests in the first 1.5 s");
-}
-
-#[test]
-fn all_servers_cold_at_once_still_serve() {
-    let mut settings = answering();
-    settings.rules = Rules { cold_share: 0.3, warm_after: ms(10_000), ..settings.rules };
-    let mut world = World::with_servers(settings, 5);
-    play(&mut world, 300, |_| Outcome::Served);
-    let started = Some(world.now);
-    world.list(ListKind::Full, (0..5).map(|n| ServerEntry { started, ..entry(n) }).collect());
-    let met = play(&mut world, 100, |_| Outcome::Served);
-    assert!(met.values().sum::<usize>() > 30, "{met:?}");
-}
-
-#[test]
-fn where_the_list_must_be_asked_for_it_is_asked_for_and_a_failed_call_is_repeated() {
-    let asks =
-        |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Subscribe { on: true })).count();
-    let mut world = World::new(Settings { list_on_request: true, ..answering() });
-    world.list(ListKind::Cached, vec![entry(0)]);
-    world.pass(ms(3000));
-    assert_eq!(asks(&world.log), 1);
-    for _ in 0..5 {
-        let before = world.log.len();
-        world.list(ListKind::Failed, Vec::new());
-        world.pass(ms(6000)); // within the 10 s after which a node counts as told
-        assert!(asks(&world.log[before..]) >= 1);
-        assert!(asks(&world.log[before..]) <= 2, "calls jam the list's service");
-    }
-    world.list(ListKind::Full, vec![entry(0)]);
-    let before = world.log.len();
-    world.pass(ms(60_000));
-    assert_eq!(asks(&world.log[before..]), 0, "a subscription needs no calls");
-}
+// ---- Shares, too much to do, odd settings -------------------------------------------------------
 
 #[test]
 fn chance_alone_does_not_put_a_tenant_of_a_quiet_node_over_its_share() {
@@ -668,96 +561,3 @@
     let tries = (1..500).find(|_| !sent_to(&world.request_with(1, 0, ms(1000), Some(ms(100))).1).is_empty());
     assert!(tries.is_some_and(|n| n > 1), "{tries:?}");
 }
-
-#[test]
-fn a_quiet_node_of_a_large_fleet_keeps_to_few_servers_and_each_node_to_others() {
-    // At full size a node met another server with each request: no count ever saw an idle sign, and each send
-    // opened a connection.
-    let mut all = BTreeMap::new();
-    for seed in 0..40 {
-        let mut world = World::seeded(answering(), seed);
-        world.list(ListKind::Full, (0..60).map(entry).collect());
-        let mut met = BTreeMap::new();
-        for _ in 0..100 {
-            *met.entry(serve(&mut world, 0.0)).or_insert(0) += 1;
-            world.now += ms(500);
-        }
-        assert!((4..=8).contains(&met.len()), "{} servers for two requests a second", met.len());
-        met.keys().for_each(|server| *all.entry(*server).or_insert(0) += 1);
-    }
-    assert!(all.len() >= 50 && all.values().all(|nodes| *nodes <= 14), "{all:?}");
-}
-
-/// The servers that a quiet node sends to or probes, told a list by `told` each second.
-fn met_over_lists(settings: Settings, told: impl Fn(&mut World, u64)) -> usize {
-    let mut world = World::seeded(settings, 7);
-    world.list(ListKind::Full, (0..60).map(entry).collect());
-    for second in 0..60 {
-        told(&mut world, second);
-        for _ in 0..2 {
-            world.request(0);
-            world.pass(ms(5));
-            while world.end_probe(Some(1.0)).is_some() {}
-            world.pass(ms(200));
-            for (id, attempt) in world.out() {
-                world.end(id, attempt, Outcome::Served, Some(1.0));
-            }
-            world.pass(ms(295));
-        }
-    }
-    let met = |action: &Action| match action {
-        Action::Send { server, .. } | Action::Probe { server } => Some((server.0, ())),
-        _ => None,
-    };
-    world.log.iter().filter_map(met).collect::<BTreeMap<_, _>>().len()
-}
-
-#[test]
-fn a_quiet_node_keeps_to_the_same_servers_whatever_lists_tell_of_their_weights() {
-    // A fleet whose list told new weights each second: every node met others after each, until all connections that
-    // servers hold were taken and nothing was served any more.
-    let weighed = |number, second| ServerEntry { weight: 1.0 / (1 + second % 5) as f32, ..entry(number) };
-    for settings in [answering(), probing()] {
-        let changes = met_over_lists(settings.clone(), |world, second| {
-            world.list(ListKind::Changes, (0..60).map(|number| weighed(number, second)).collect());
-        });
-        let whole = met_over_lists(settings.clone(), |world, second| {
-            world.list(ListKind::Full, (0..60).map(|number| weighed(number, second)).collect());
-        });
-        let none = met_over_lists(settings, |_, _| ());
-        assert!(changes <= 8 && whole <= 8 && none <= 8, "met {changes}, {whole} and {none}");
-    }
-}
-
-#[test]
-fn a_further_attempt_stays_with_the_servers_that_a_node_meets_unless_none_of_them_may_have_it() {
-    let mut world = World::seeded(answering(), 3);
-    world.list(ListKind::Full, (0..60).map(entry).collect());
-    let mut met = BTreeMap::new();
-    for round in 0..40 {
-        let (id, actions) = world.request(0);
-        sent_to(&actions).iter().for_each(|to| *met.entry(*to).or_insert(0) += 1);
-        if round % 4 == 0 {
-            let before = world.log.len();
-            world.end(id, 0, Outcome::Rejected, None);
-            sent_to(&world.log[before..]).iter().for_each(|to| *met.entry(*to).or_insert(0) += 1);
-        }
-        for (id, attempt) in world.out() {
-            world.end(id, attempt, Outcome::Served, Some(0.0));
-        }
-        world.now += ms(500);
-    }
-    assert!(met.len() <= 8, "{met:?}");
-    // All whom it meets drain: the rest of the fleet is there for it.
-    let draining = |number: &u64| ServerEntry { state: ServerState::Draining, ..entry(*number) };
-    world.list(ListKind::Changes, met.keys().map(draining).collect());
-    let to = sent_to(&world.request(0).1);
-    assert!(to.len() == 1 && !met.contains_key(&to[0]), "{to:?} of {met:?}");
-}
-
-#[test]
-fn a_busy_node_uses_its_whole_fleet() {
-    let mut world = World::with_servers(answering(), 20);
-    let met: BTreeMap<u64, ()> = (0..400).map(|_| (serve(&mut world, 1.0), ())).collect();
-    assert_eq!(met.len(), 20);
-}
--- a/crates/larchspread/tests/world/mod.rs
+++ b/crates/larchspread/tests/world/mod.rs
@@ -58,6 +58,39 @@
     Settings { reports: ReportSource::Answers, ..settings() }
 }
 
+pub fn sent_to(actions: &[Action]) -> Vec<u64> {
+    let send = |action: &Action| match action {
+        Action::Send { server, .. } => Some(server.0),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+/// Sends a request and has it served at once, with a report of that many requests in flight.
+pub fn serve(world: &mut World, load: f32) -> u64 {
+    let (id, actions) = world.request(0);
+    let to = sent_to(&actions);
+    assert_eq!(to.len(), 1, "a free fleet takes a request at once: {actions:?}");
+    world.pass(ms(20));
+    world.end(id, 0, Outcome::Served, Some(load));
+    to[0]
+}
+
+/// Plays requests of 30 ms for a while; `ends` says how an attempt at a server ends.
+pub fn play(world: &mut World, count: usize, ends: impl Fn(u64) -> Outcome) -> BTreeMap<u64, usize> {
+    let mut met = BTreeMap::new();
+    for _ in 0..count {
+        world.request(1);
+        world.pass(ms(30));
+        for (id, attempt) in world.out() {
+            let server = world.server_of(id, attempt).0;
+            *met.entry(server).or_insert(0) += 1;
+            world.end(id, attempt, ends(server), Some(0.0));
+        }
+    }
+    met
+}
+
 struct Try {
     server: ServerId,
     sent: Duration,
--- a/crates/marlwinch/tests/peers/mod.rs
+++ b/crates/marlwinch/tests/peers/mod.rs
@@ -47,6 +47,48 @@
     serde_json::json!({"generation": generation, "reset": reset, "instances": instances}).to_string()
 }
 
+/// A node with these backends, all in service in the zone `east`, and its discovery.
+pub fn node_with(backends: &[&Listener]) -> (Node, Listener) {
+    let addresses: Vec<SocketAddr> = backends.iter().map(|b| b.address()).collect();
+    node_at(&addresses, "east")
+}
+
+/// The same with addresses; the zone is that of all but the first.
+pub fn node_at(addresses: &[SocketAddr], zone: &str) -> (Node, Listener) {
+    let names = ["s-1", "s-2", "s-3"];
+    let zone_of = |i| if i == 0 { "east" } else { zone };
+    let lines: Vec<_> =
+        addresses.iter().enumerate().map(|(i, a)| (names[i], *a, zone_of(i), "in_service")).collect();
+    let discovery = Listener::new();
+    let node = Node::start(&config(discovery.address(), &list(41, true, &lines), |_| {}));
+    (node, discovery)
+}
+
+/// Lets a client's unsafe request be served on this connection of a backend.
+pub fn serve_on(peer: &mut Peer, client: &mut Peer) {
+    client.request("correct", "", "x");
+    peer.read();
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+}
+
+/// The same where the request must come on a new connection, which is returned.
+pub fn serve_anew(backend: &Listener, client: &mut Peer) -> Peer {
+    client.request("correct", "", "x");
+    let mut peer = backend.next_request(&mut Vec::new());
+    peer.answer("200 OK", "", "done");
+    assert_eq!(client.read().status(), 200);
+    peer
+}
+
+/// Takes the node's next watch, which must ask for what has come after this version, and begins to answer it.
+pub fn begin_watch(discovery: &Listener, from: u32) -> Peer {
+    let mut watch = discovery.accept();
+    assert_eq!(watch.read().first, format!("GET /v1/endpoints?watch=1&from={from} HTTP/1.1"));
+    watch.begin_watch();
+    watch
+}
+
 /// A running node. It is killed when dropped.
 pub struct Node {
     child: Child,
--- a/crates/marlwinch/tests/repeats.rs
+++ b/crates/marlwinch/tests/repeats.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use peers::{LONG, Listener, Node, Peer, config, list};
+use peers::{LONG, Listener, Node, Peer, config, list, node_at};
 use std::time::{Duration, Instant};
 
 /// A first box breaks under a request of which it has had all, and the connection to the only other one does not come up
@@ -57,3 +57,25 @@
     peer.answer("200 OK", "", "done");
     assert_eq!(other.read().status(), 200);
 }
+
+#[test]
+fn a_keyed_request_that_may_have_run_is_sent_again_within_its_zone_only() {
+    for zone in ["east", "west"] {
+        let (one, other) = (Listener::new(), Listener::new());
+        let (node, _discovery) = node_at(&[one.address(), other.address()], zone);
+        let mut client = node.client();
+        client.request("submit", "", "x");
+        let (first, mut peer) = Listener::accept_any(&[&one, &other]);
+        peer.read();
+        drop(peer);
+        if zone == "east" {
+            let mut peer = [&one, &other][1 - first].accept();
+            assert_eq!(peer.read().header("idempotency-key"), Some("5c0f"));
+            peer.answer("200 OK", "", "once");
+            assert_eq!(client.read().body, b"once");
+        } else {
+            assert_eq!(client.read().status(), 502);
+            assert!([&one, &other][1 - first].is_untouched());
+        }
+    }
+}
