--- a/crates/larchspread/src/balance/pick.rs
+++ b/crates/larchspread/src/balance/pick.rs
@@ -155,18 +155,18 @@
         self.settings.probes_tell() && self.settings.nodes > 1
     }
 
-    /// The part of the fleet that this node keeps to with its sends and its probes (subsetting). Each server of
-    /// it is to be met twice in the span in which load is judged, or no count ever meets an idle sign. It stays
-    /// the same while the list does: whoever meets others each time has every connection opened anew, and
-    /// servers hold only so many.
+    /// The part of the fleet that this node keeps to with its sends and its probes (subsetting). Each server
+    /// of it is to be met twice in the span in which load is judged, or no count ever meets an idle sign. It
+    /// stays the same while the list does: whoever meets others each time has every connection opened anew,
+    /// and servers hold only so many.
     pub(super) fn subset(&self) -> &[ServerId] {
         let span = self.settings.rules.overload_time.as_secs_f64();
         let met = (self.traffic.since_start(self.now, span.max(1.0)) * span / 2.0) as usize;
         &self.fleet.ready[..met.max(FEWEST).min(self.fleet.ready.len())]
     }
 
-    /// The servers to choose from: those heard from lately, else a part of the fleet, or all of it where nobody
-    /// of that part may be sent to. The ejected are used if no other is left.
+    /// The servers to choose from: those heard from lately, else a part of the fleet, or all of it where
+    /// nobody of that part may be sent to. The ejected are used if no other is left.
     pub(super) fn candidates(&mut self, id: RequestId) -> Vec<ServerId> {
         let Some(request) = self.requests.get(&id) else { return Vec::new() };
         let permitted = |id: &ServerId| self.fleet.get(id).is_some_and(|s| self.permitted(s, request));
