--- a/crates/larchspread/src/balance.rs
+++ b/crates/larchspread/src/balance.rs
@@ -497,7 +497,7 @@
     fn probe(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let most = 2.min(self.probe_tokens as usize);
         let (mut asked, mut looked_at) = (0, 0);
-        let mut subset = self.subset().to_vec();
+        let mut subset = if most > 0 { self.subset().to_vec() } else { Vec::new() };
         while asked < most && looked_at < subset.len() {
             let drawn = self.fleet.draw(looked_at, &mut subset);
             looked_at += 1;
--- a/crates/larchspread/src/balance/pick.rs
+++ b/crates/larchspread/src/balance/pick.rs
@@ -21,7 +21,7 @@
     }
 
     /// Rule 2: what may have run is sent again only as its class allows.
-    pub(super) fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
+    fn repeat_allows(&self, server: &Server, request: &Request) -> bool {
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run()) else { return true };
         match self.classes[request.class].repeat {
             Repeat::Safe => true,
@@ -84,7 +84,7 @@
     }
 
     /// Rule 4: a cold server is sent no more than this node's part of what it can take.
-    pub(super) fn cold_allows(&self, server: &Server, request: &Request) -> bool {
+    fn cold_allows(&self, server: &Server, request: &Request) -> bool {
         self.warmth(server) >= 1.0 || self.credit(server) >= request.weight.max(1.0)
     }
 
@@ -140,7 +140,7 @@
     }
 
     /// A queue turns over within about one answer time; after a part of that, news of it is old.
-    pub(super) fn fresh(&self, at: Duration) -> bool {
+    fn fresh(&self, at: Duration) -> bool {
         (self.now - at).as_secs_f64() <= self.answer_time / 4.0
     }
 
@@ -197,14 +197,14 @@
 
     /// Own sends since the last idle sign, which lapses where other nodes send as well and probes are cheap;
     /// for servers that are not alike, by what each can do beside the mean.
-    pub(super) fn estimate(&self, server: &Server, cap: u32) -> f64 {
+    fn estimate(&self, server: &Server, cap: u32) -> f64 {
         let lapsed = self.lapses() && !server.idle_at.is_some_and(|at| self.fresh(at));
         f64::from(if lapsed { cap } else { server.count }) / server.share()
     }
 
     /// The cap m of Theorem 6 of the paper, from own sends for each idle sign (its lambda / delta) and the
     /// share of reports that were not idle (its lambda), for exponential job sizes.
-    pub(super) fn cap(&self) -> u32 {
+    fn cap(&self) -> u32 {
         let per_sign = self.sends / self.idle_signs.max(1e-6);
         let half = 0.5 + per_sign * (1.0 - self.busy) / self.busy.max(SMOOTH);
         let best = ((half * half + 2.0 * per_sign).sqrt() - half).ceil();
@@ -235,7 +235,7 @@
 
     /// Whether it reported lately far more than is usual. Reports are late, so that is news for a short while
     /// only.
-    pub(super) fn seen_crowded(&self, server: &Server) -> bool {
+    fn seen_crowded(&self, server: &Server) -> bool {
         let lately = self.settings.rules.overload_time / 3;
         server
             .load
--- a/crates/marlwinch/src/turn/open.rs
+++ b/crates/marlwinch/src/turn/open.rs
@@ -58,8 +58,9 @@
     let Some(request) = open.get_mut(&id) else { return };
     let (sent, attempt) = (Instant::now(), request.attempts.len() as u32);
     // Whatever has led here, what may have run is sent again only as its class allows, and a body only while it is there.
-    let ran = request.attempts.iter().map(|attempt| attempt.outcome.unwrap_or(Outcome::Cancelled));
-    let ran = ran.max_by_key(|outcome| !outcome.never_ran());
+    let may_have_run = |a: &&Attempt| a.outcome.is_none_or(|outcome| !outcome.never_ran());
+    let first = request.attempts.iter().find(may_have_run);
+    let ran = first.map(|attempt| attempt.outcome.unwrap_or(Outcome::Cancelled));
     let kept = request.payload.upload.as_ref().map_or(Kept::Whole, |upload| upload.kept());
     let may = attempt::may_send_again(request.repeat, ran, kept);
     if !may {
@@ -80,8 +81,7 @@
     }
     // The module looks at the window of a key when it picks. A connection that takes its time to come up would take the
     // attempt past it.
-    let may_have_run = |a: &&Attempt| a.outcome.is_none_or(|outcome| !outcome.never_ran());
-    let remembered = match (request.repeat, request.attempts.iter().find(may_have_run)) {
+    let remembered = match (request.repeat, first) {
         (Repeat::Keyed { window, .. }, Some(first)) => first.sent.checked_add(window),
         _ => None,
     };
--- a/crates/marlwinch/tests/leaving.rs
+++ b/crates/marlwinch/tests/leaving.rs
@@ -94,10 +94,7 @@
         for ahead in AHEAD {
             let (backend, discovery) = (Listener::new(), Listener::new());
             let node = Node::start(&config(discovery.address(), &list(41, true, &[]), |_| {}));
-            let mut watch = discovery.accept();
-            watch.read();
-            watch.begin_watch();
-            watch.line("");
+            let mut watch = discovery.open_watch();
             let client = ask(&node, "correct", ahead);
             println!("{how:?} ahead {} x {}", ahead.0.len(), ahead.1);
             let stays = stay(&node);
@@ -214,10 +211,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let (backend, discovery) = (Listener::new(), Listener::new());
         let node = Node::start(&config(discovery.address(), &list(41, true, &[]), |_| {}));
-        let mut watch = discovery.accept();
-        watch.read();
-        watch.begin_watch();
-        watch.line("");
+        let mut watch = discovery.open_watch();
         let clients: Vec<_> = (0..250)
             .map(|i| {
                 let mut client = node.client();
--- a/crates/marlwinch/tests/leaving_drawn.rs
+++ b/crates/marlwinch/tests/leaving_drawn.rs
@@ -135,10 +135,7 @@
         let node = Node::start(&config(discovery.address(), &list(41, true, &[]), |c| {
             c["settings"]["Classes"][2]["Target"] = 1600.0.into();
         }));
-        let mut watch = discovery.accept();
-        watch.read();
-        watch.begin_watch();
-        watch.line("");
+        let mut watch = discovery.open_watch();
         let clients = ask(&node, post);
         let lists = list(42, true, &[("s-1", backend.address(), "east", "in_service")]);
         let (left, released) = leave_around(seed, clients, || watch.line(&lists));
--- a/crates/marlwinch/tests/peers/mod.rs
+++ b/crates/marlwinch/tests/peers/mod.rs
@@ -331,6 +331,14 @@
     pub fn accept(&self) -> Peer {
         Listener::accept_any(&[self]).1
     }
+    /// Takes the node's call for a watch, and says on it that nothing has changed.
+    pub fn open_watch(&self) -> Peer {
+        let mut watch = self.accept();
+        watch.read();
+        watch.begin_watch();
+        watch.line("");
+        watch
+    }
     /// A connection that waits to be taken, if there is one.
     pub fn try_accept(&self) -> Option<Peer> {
         self.0.set_nonblocking(true).expect("a socket");
--- a/crates/marlwinch/tests/repeats.rs
+++ b/crates/marlwinch/tests/repeats.rs
@@ -15,10 +15,7 @@
     let node = Node::start(&config(discovery.address(), &known, |c| {
         c["settings"]["Classes"][1]["Window"] = 500.0.into();
     }));
-    let mut watch = discovery.accept();
-    watch.read();
-    watch.begin_watch();
-    watch.line("");
+    let mut watch = discovery.open_watch();
     let mut client = node.client();
     client.request("submit", "", "x");
     let mut peer = first.next_request(&mut Vec::new());
