Bound what nodes without a grantor allow themselves by what its bucket still held

Cause: a node without a grantor could owe its part of the whole depth and debt of the fleet's bucket, also where the bucket had been empty at its last answer; and what was taken off for a silent node was given back late and at once, into a bucket that had been filled by others meanwhile. Change: an answer tells what the fleet's bucket could still give; a node alone owes its part of that and of what flows in until it counts as alone. What is given back for a silent node is at most what flows to it within the time after which it counts so.

--- a/crates/control/tests/agent.rs
+++ b/crates/control/tests/agent.rs
@@ -148,6 +148,7 @@
         amount: 9000.0,
         continuing: 10.0,
         wait_ms: 0,
+        left: 0.0,
         retry_ms: 0,
         nodes: 8,
     };
--- a/crates/marlwinch/tests/data_plane_limits.rs
+++ b/crates/marlwinch/tests/data_plane_limits.rs
@@ -103,6 +103,7 @@
         amount,
         continuing: 0.0,
         wait_ms,
+        left: 0.0,
         retry_ms,
         nodes: 4,
     };
--- a/crates/protocol/src/quota_terms.rs
+++ b/crates/protocol/src/quota_terms.rs
@@ -43,6 +43,8 @@
     pub amount: f64,
     /// The rate, per second, that the node goes on with when it hears of no grantor any more.
     pub continuing: f64,
+    /// What the fleet's bucket could still give when this was answered, to all nodes together.
+    pub left: f64,
     /// In how many milliseconds the grantor will have something again; 0 if nothing was refused.
     pub wait_ms: u64,
     /// In how many milliseconds a client that was refused is likely to get something; 0 if nothing was refused.
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -44,6 +44,8 @@
     waiting: Vec<f64>,
     /// The rate to go on with; 0 if none was told.
     continuing: f64,
+    /// What the fleet's bucket had left at the last answer; 0 if none has come.
+    left: f64,
     /// The epoch of the last answer that was taken in.
     epoch: u64,
     /// Until when the grantor will have nothing.
@@ -68,6 +70,7 @@
             kept_until: now,
             waiting: Vec::new(),
             continuing: 0.0,
+            left: 0.0,
             epoch: 0,
             dry_until: now,
             refused_until: now,
@@ -147,7 +150,8 @@
     }
 
     fn alone(&mut self, now: Duration, cost: f64, contact: Option<Duration>) -> Result<bool, Duration> {
-        let lacking = cost - self.credit - self.room.own_debt(self.nodes);
+        let untaken = self.left + self.limit.rate * CONTACT.as_secs_f64();
+        let lacking = cost - self.credit - self.room.own_debt(untaken, self.nodes);
         if lacking <= 0.0 {
             self.take(cost);
             return Ok(true);
@@ -232,6 +236,7 @@
         }
         self.epoch = allotment.epoch;
         self.continuing = allotment.continuing.clamp(0.0, self.limit.rate);
+        self.left = allotment.left;
         self.nodes = allotment.nodes;
         if allotment.wait_ms > 0 {
             self.dry_until = now + Duration::from_millis(allotment.wait_ms);
--- a/crates/quota/src/grantor.rs
+++ b/crates/quota/src/grantor.rs
@@ -124,6 +124,7 @@
                 question: demand.question,
                 amount: given.amount,
                 continuing: given.continuing,
+                left: given.left,
                 wait_ms: given.wait_ms,
                 retry_ms: given.retry_ms,
                 nodes: count,
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -97,8 +97,9 @@
         self.reserves / f64::from(nodes.max(LEAST_NODES))
     }
 
-    /// What a node without a grantor may owe: its part of what nobody takes out of the fleet's bucket then.
-    pub fn own_debt(&self, nodes: u32) -> f64 {
-        (self.depth + self.debt) / f64::from(nodes.max(LEAST_NODES))
+    /// What a node without a grantor may owe: its part of what nobody takes out of the fleet's bucket then. `untaken` is what
+    /// was left there, with what flows in until nodes go on by themselves.
+    pub fn own_debt(&self, untaken: f64, nodes: u32) -> f64 {
+        untaken.clamp(0.0, self.depth + self.debt) / f64::from(nodes.max(LEAST_NODES))
     }
 }
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -46,6 +46,8 @@
 pub(crate) struct Given {
     pub amount: f64,
     pub continuing: f64,
+    /// What is left for all nodes.
+    pub left: f64,
     pub wait_ms: u64,
     pub retry_ms: u64,
 }
@@ -134,7 +136,11 @@
         let account = self.accounts.entry(node.to_string()).or_insert(first);
         // Less than before is said by a process that began anew.
         let more = if alone >= account.alone { alone - account.alone } else { alone };
-        let owed = more - std::mem::take(&mut account.taken_off);
+        let taken_off = std::mem::take(&mut account.taken_off);
+        // What flowed in long ago and was not used would have found the bucket full, or others would have used it: given back
+        // late and at once, it would be there a second time.
+        let longest = account.continuing * CONTACT.as_secs_f64();
+        let owed = (more - taken_off).max(-longest);
         account.alone = alone;
         self.level = (self.level - owed).min(self.room.depth);
     }
@@ -167,7 +173,8 @@
             account.continuing = told;
         }
         let (wait_ms, retry_ms) = lacking.map_or((0, 0), |lacking| self.waits_ms(now, lacking, nodes));
-        Given { amount: granted + top_up, continuing, wait_ms, retry_ms }
+        let left = (self.level + self.room.debt).max(0.0);
+        Given { amount: granted + top_up, continuing, left, wait_ms, retry_ms }
     }
 
     /// What is given to requests that wait, and by how much the level is too low for the first that gets nothing.
