Tell whole lists of backends on request, as tables, from one coordinator

Connections that came meanwhile waited for longer than an agent waits for a first word (2 s); agents closed and came again, and the coordinators wrote whole lists into connections that were closed already. Change: a connection that comes up is told the digest of the list. An agent fetches the whole list from one coordinator; for the others it supposes the list that it has and compares it by ranges, and fetches it whole where too much differs. In messages a list is a table: shared texts once, a row of plain values for each backend.

--- a/crates/control/src/agent/backends.rs
+++ b/crates/control/src/agent/backends.rs
@@ -1,18 +1,23 @@
 //! The lists of backends that coordinators tell, and the newest of them.
 
 use super::knowledge::LinkId;
-use super::repair::{Repair, RepairError, Step, mended};
+use super::repair::{Reason, Repair, RepairError, Step, mended};
 use protocol::{Backend, BackendChanges, BackendList, BackendState};
 use range_digest::{KeyRange, RangeContent, RangeDigest};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A coordinator that has not sent the whole list within this time is passed over for another one.
+const WHOLE_WITHIN: Duration = Duration::from_millis(1500);
+
 /// What a link last told.
 #[derive(Clone, Debug)]
 struct Told {
     version: u64,
     backends: Arc<Vec<Backend>>,
+    /// Whether the coordinator is known to hold just this list. Else it is that of another coordinator, and is compared.
+    agreed: bool,
     /// Whether it has told anything since [`Lists::behind`] was last asked.
     lately: bool,
     /// The comparison with the coordinator's list, while one is under way.
@@ -26,6 +31,8 @@
     held: Option<BackendList>,
     /// When the list in hand was last confirmed.
     confirmed: Duration,
+    /// The link that was asked for the whole list, and until when it is waited for.
+    whole: Option<(LinkId, Duration)>,
     /// Backends that were seen to drain: none of them is ever ready again.
     drained: HashSet<String>,
 }
@@ -56,11 +63,43 @@
     /// Keeps in mind what a link tells.
     fn note(&mut self, id: LinkId, list: BackendList) -> Arc<Vec<Backend>> {
         let backends = Arc::new(list.backends);
-        let told = Told { version: list.version, backends: backends.clone(), lately: true, repair: None };
-        self.told.insert(id, told);
+        let (version, lately, repair) = (list.version, true, None);
+        self.told.insert(id, Told { version, backends: backends.clone(), agreed: true, lately, repair });
+        if self.whole.is_some_and(|(asked, _)| asked == id) {
+            self.whole = None;
+        }
         backends
     }
 
+    /// Whether a coordinator is known to hold the list that is kept for its link.
+    pub fn is_agreed(&self, id: LinkId) -> bool {
+        self.told.get(&id).is_some_and(|told| told.agreed)
+    }
+
+    /// What to ask a coordinator that speaks of a list of which nothing is known here: its digest where another coordinator has
+    /// told a list, else the whole, of one coordinator at a time.
+    pub fn unknown(&mut self, now: Duration, id: LinkId) -> Step {
+        self.told.remove(&id);
+        if self.newest_told().is_some() {
+            return Step::FetchDigest;
+        }
+        if self.whole.is_some_and(|(_, until)| now < until) {
+            return Step::Wait;
+        }
+        self.fetch_whole(now, id)
+    }
+
+    fn fetch_whole(&mut self, now: Duration, id: LinkId) -> Step {
+        self.told.remove(&id);
+        self.whole = Some((id, now + WHOLE_WITHIN));
+        Step::FetchWhole
+    }
+
+    fn newest_told(&self) -> Option<Arc<Vec<Backend>>> {
+        let agreed = self.told.values().filter(|told| told.agreed);
+        agreed.max_by_key(|told| told.version).map(|told| told.backends.clone())
+    }
+
     /// A coordinator tells what has changed since what it told last. `None` if that is not known here.
     pub fn changed(
         &mut self,
@@ -69,32 +108,46 @@
         version: u64,
         changes: &BackendChanges,
     ) -> Option<BackendList> {
-        let told = self.told.get(&id).filter(|told| told.version == base)?;
+        let told = self.told.get(&id).filter(|told| told.agreed && told.version == base)?;
         Some(BackendList { version, backends: changes.apply(&told.backends) })
     }
 
     /// A coordinator confirms the list that it told last. Returns the list in hand if that has changed.
     pub fn confirmed(&mut self, now: Duration, id: LinkId, version: u64) -> Option<BackendList> {
-        let told = self.told.get_mut(&id)?;
+        let told = self.told.get_mut(&id).filter(|told| told.agreed)?;
         told.version = told.version.max(version);
         told.lately = true;
         let backends = told.backends.clone();
         self.merge(now, version, &backends)
     }
 
-    /// A coordinator tells the digest of the list that it told last. Returns what to ask it, if the list here differs.
-    pub fn digest_told(&mut self, id: LinkId, version: u64, digest: RangeDigest) -> Step {
+    /// A coordinator tells the digest of its list. Returns what to ask it, if the list that is kept for its link differs.
+    pub fn digest_told(&mut self, now: Duration, id: LinkId, version: u64, digest: RangeDigest) -> Step {
+        if !self.is_agreed(id) && !self.suppose(id, version) {
+            return self.unknown(now, id);
+        }
         let Some(told) = self.told.get_mut(&id).filter(|told| told.version == version) else {
             return Step::Wait;
         };
-        told.repair = Repair::begin(version, &told.backends, digest);
+        let reason = if told.agreed { Reason::Check } else { Reason::FirstContact };
+        told.repair = Repair::begin(reason, version, &told.backends, digest);
+        told.agreed |= told.repair.is_none();
         told.repair.as_mut().map_or(Step::Wait, Repair::step)
     }
 
+    /// Supposes that a coordinator holds what another one has told. False if none has.
+    fn suppose(&mut self, id: LinkId, version: u64) -> bool {
+        let Some(backends) = self.newest_told() else { return false };
+        let (agreed, lately, repair) = (false, true, None);
+        self.told.insert(id, Told { version, backends, agreed, lately, repair });
+        true
+    }
+
     /// A coordinator tells what its list holds in a range. Where its list has become another one meanwhile, the next
     /// digest begins anew.
     pub fn range_told(
         &mut self,
+        now: Duration,
         id: LinkId,
         version: u64,
         range: KeyRange,
@@ -105,8 +158,11 @@
             told.repair = None;
             return Ok(Step::Wait);
         };
-        repair.range_told(range, content)?;
-        Ok(repair.step())
+        match repair.range_told(range, content) {
+            Ok(()) => Ok(repair.step()),
+            Err(_) if !told.agreed => Ok(self.fetch_whole(now, id)),
+            Err(error) => Err(error),
+        }
     }
 
     /// A coordinator tells how backends are that were found to differ. Returns the list that it makes.
@@ -169,13 +225,16 @@
     /// A link has ended.
     pub fn forget(&mut self, id: LinkId) {
         self.told.remove(&id);
+        if self.whole.is_some_and(|(asked, _)| asked == id) {
+            self.whole = None;
+        }
     }
 
     /// The coordinators that told nothing since this was last asked, and are behind the list in hand, with its version.
     pub fn behind(&mut self) -> Vec<(LinkId, u64)> {
         let Some(version) = self.version() else { return Vec::new() };
         let mut behind = Vec::new();
-        for (id, told) in &mut self.told {
+        for (id, told) in self.told.iter_mut().filter(|(_, told)| told.agreed) {
             if !std::mem::take(&mut told.lately) && told.version < version {
                 behind.push((*id, version));
             }
--- a/crates/control/src/agent/knowledge.rs
+++ b/crates/control/src/agent/knowledge.rs
@@ -144,6 +144,9 @@
                 self.list_seen(now, changed)
             }
             ToAgent::BackendsChanged { base, version, changes } => {
+                if !self.lists.is_agreed(id) {
+                    return self.list_unknown(now, id, version);
+                }
                 let Some(list) = self.lists.changed(id, base, version, &changes) else {
                     log::error!("changes to list {base}, which was not told: the link is made anew");
                     return vec![Say::Reconnect(id)];
@@ -151,16 +154,25 @@
                 let changed = self.lists.told(now, id, list);
                 self.list_seen(now, changed)
             }
+            ToAgent::BackendsConfirmed { version } if !self.lists.is_agreed(id) => {
+                self.list_unknown(now, id, version)
+            }
             ToAgent::BackendsConfirmed { version } => {
                 let changed = self.lists.confirmed(now, id, version);
                 self.list_seen(now, changed)
             }
             ToAgent::BackendsDigest { version, digest } => {
-                let step = self.lists.digest_told(id, version, digest);
-                self.repair(now, id, version, step)
+                let was_agreed = self.lists.is_agreed(id);
+                let step = self.lists.digest_told(now, id, version, digest);
+                let mut say = self.repair(now, id, version, step);
+                if !was_agreed && self.lists.is_agreed(id) {
+                    let changed = self.lists.confirmed(now, id, version);
+                    say.extend(self.list_seen(now, changed));
+                }
+                say
             }
             ToAgent::BackendsRange { version, range, content } => {
-                match self.lists.range_told(id, version, range, &content) {
+                match self.lists.range_told(now, id, version, range, &content) {
                     Ok(step) => self.repair(now, id, version, step),
                     Err(error) => give_up_repair(id, version, &error),
                 }
@@ -189,9 +201,17 @@
         }
     }
 
+    /// A coordinator speaks of a list of which nothing is known here.
+    fn list_unknown(&mut self, now: Duration, id: LinkId, version: u64) -> Vec<Say> {
+        let step = self.lists.unknown(now, id);
+        self.repair(now, id, version, step)
+    }
+
     fn repair(&mut self, now: Duration, id: LinkId, version: u64, step: Step) -> Vec<Say> {
         match step {
             Step::Compare(range) => vec![self.say(now, id, FromAgent::CompareBackends { version, range })],
+            Step::FetchWhole => vec![self.say(now, id, FromAgent::FetchBackends)],
+            Step::FetchDigest => vec![self.say(now, id, FromAgent::FetchBackendsDigest)],
             Step::Want(keys) => vec![self.say(now, id, FromAgent::WantBackends { version, keys })],
             Step::Wait => Vec::new(),
         }
--- a/crates/control/src/agent/repair.rs
+++ b/crates/control/src/agent/repair.rs
@@ -24,6 +24,10 @@
 /// What is to be said to the coordinator next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
+    /// Ask for the whole list.
+    FetchWhole,
+    /// Ask for the digest of its list.
+    FetchDigest,
     /// Ask what it holds in a range.
     Compare(KeyRange),
     /// Ask for the backends with these keys.
@@ -32,9 +36,28 @@
     Wait,
 }
 
+/// Why two lists are compared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The coordinator has told nothing yet; the list is that of another coordinator, and may differ.
+    FirstContact,
+    /// The coordinator told this list: a difference is a fault.
+    Check,
+}
+
+impl Reason {
+    fn level(self) -> log::Level {
+        match self {
+            Reason::FirstContact => log::Level::Debug,
+            Reason::Check => log::Level::Error,
+        }
+    }
+}
+
 /// A comparison of one list with the coordinator's.
 #[derive(Clone, Debug)]
 pub struct Repair {
+    reason: Reason,
     version: u64,
     own: DigestedSet,
     walk: Walk,
@@ -43,13 +66,19 @@
 
 impl Repair {
     /// Begins where the digests of a list differ; `None` where they don't.
-    pub fn begin(version: u64, backends: &[Backend], coordinator: RangeDigest) -> Option<Self> {
+    pub fn begin(
+        reason: Reason,
+        version: u64,
+        backends: &[Backend],
+        coordinator: RangeDigest,
+    ) -> Option<Self> {
         // Lists agree nearly always; the set is made only where they don't.
         let held = protocol::digest_of(backends);
         if held == coordinator {
             return None;
         }
-        log::error!(
+        log::log!(
+            reason.level(),
             "list {version}: {} backends with sum {:016x} here, {} with {:016x} at the coordinator",
             held.count,
             held.sum,
@@ -58,7 +87,7 @@
         );
         let own = protocol::digested(backends);
         let walk = Walk::begin(&own, coordinator);
-        Some(Repair { version, own, walk, found: Vec::new() })
+        Some(Repair { reason, version, own, walk, found: Vec::new() })
     }
 
     /// The version of the list.
@@ -81,7 +110,8 @@
     pub fn range_told(&mut self, range: KeyRange, content: &RangeContent) -> Result<(), RepairError> {
         let found = self.walk.answered(&self.own, range, content)?;
         for difference in &found {
-            log::error!(
+            log::log!(
+                self.reason.level(),
                 "list {}: key {:016x} from {:016x} on: {} here, {} at the coordinator",
                 self.version,
                 difference.key,
--- a/crates/control/src/coordinator/accept.rs
+++ b/crates/control/src/coordinator/accept.rs
@@ -106,6 +106,8 @@
                 }
             }
             FromAgent::BackendsSeen { version } => node.backends.heard_of(version),
+            FromAgent::FetchBackends => node.agents.fetch_backends(id),
+            FromAgent::FetchBackendsDigest => node.agents.fetch_backends_digest(id),
             FromAgent::CompareBackends { range, .. } => node.agents.compare_backends(id, range),
             FromAgent::WantBackends { keys, .. } => node.agents.mend_backends(id, keys),
             FromAgent::IndexChanges { restart, changes } => node.audits.told(name, restart, &changes),
--- a/crates/control/src/coordinator/agents/mod.rs
+++ b/crates/control/src/coordinator/agents/mod.rs
@@ -6,7 +6,7 @@
 use super::core::{Standing, in_order};
 use crate::link::Outgoing;
 use bytes::Bytes;
-use protocol::{Backend, BackendChanges, BackendList, CoreMember, ToAgent};
+use protocol::{Backend, BackendChanges, CoreMember, ToAgent};
 use range_digest::KeyRange;
 use replication::{Entry, View};
 use serde::{Deserialize, Serialize};
@@ -211,8 +211,10 @@
                 ToAgent::BackendsChanged { base, version, changes }
             }
             None => {
-                inner.backends = Some(ToldList::new(version, backends.clone()));
-                ToAgent::Backends(BackendList { version, backends: backends.as_ref().clone() })
+                let list = ToldList::new(version, backends.clone());
+                let digest = list.digest_message();
+                inner.backends = Some(list);
+                digest
             }
         };
         inner.send_to_all(now, &message);
@@ -228,6 +230,23 @@
         inner.send_to_all(now, &ToAgent::BackendsConfirmed { version });
     }
 
+    /// Tells an agent the whole list.
+    pub fn fetch_backends(&self, id: LinkId) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let Some(frames) = inner.backends.as_mut().map(ToldList::frames) else { return };
+        let Some(link) = inner.links.get_mut(&id) else { return };
+        link.sent = now;
+        frames.into_iter().for_each(|frame| link.send_frame(frame));
+    }
+
+    /// Tells an agent the digest of the list.
+    pub fn fetch_backends_digest(&self, id: LinkId) {
+        if let Some(message) = self.with_list(ToldList::digest_message) {
+            self.reply(id, &message);
+        }
+    }
+
     /// Tells an agent what the list holds in a range, for it to find where its own differs.
     pub fn compare_backends(&self, id: LinkId, range: KeyRange) {
         let Some((version, content)) = self.with_list(|list| (list.version, list.content(range))) else {
@@ -241,7 +260,7 @@
         let Some((version, backends)) = self.with_list(|list| (list.version, list.with_keys(&keys))) else {
             return;
         };
-        log::error!("list {version}: an agent held {} backends otherwise; told again", keys.len());
+        log::info!("list {version}: an agent held {} backends otherwise; told again", keys.len());
         self.reply(id, &ToAgent::BackendsMended { version, keys, backends });
     }
 
@@ -318,17 +337,16 @@
         let Some(list) = self.backends.as_ref().filter(|_| now >= self.digest_told + DIGEST_EVERY) else {
             return;
         };
-        let message = ToAgent::BackendsDigest { version: list.version, digest: list.digest() };
+        let message = list.digest_message();
         self.digest_told = now;
         self.send_to_all(now, &message);
     }
 
-    fn all_in_force(&mut self) -> Vec<Bytes> {
+    /// What is in force, but for what is large: that is fetched.
+    fn all_in_force(&self) -> Vec<Bytes> {
         let mut frames = vec![frame(&self.view_message())];
         frames.extend(self.entry.iter().map(|entry| frame(&ToAgent::Available { sequence: entry.sequence })));
-        if let Some(list) = &mut self.backends {
-            frames.extend(list.frames());
-        }
+        frames.extend(self.backends.iter().map(|list| frame(&list.digest_message())));
         frames
     }
 
--- a/crates/control/src/coordinator/agents/told_list.rs
+++ b/crates/control/src/coordinator/agents/told_list.rs
@@ -3,7 +3,7 @@
 use super::frame;
 use bytes::Bytes;
 use protocol::{Backend, BackendChanges, BackendList, ToAgent};
-use range_digest::{DigestedSet, KeyRange, RangeContent, RangeDigest};
+use range_digest::{DigestedSet, KeyRange, RangeContent};
 use std::sync::Arc;
 
 /// The list of backends that all agents were told.
@@ -47,9 +47,9 @@
         frames
     }
 
-    /// The digest of the whole list.
-    pub fn digest(&self) -> RangeDigest {
-        self.digests.digest(KeyRange::ALL)
+    /// What tells the digest of the whole list.
+    pub fn digest_message(&self) -> ToAgent {
+        ToAgent::BackendsDigest { version: self.version, digest: self.digests.digest(KeyRange::ALL) }
     }
 
     /// What it holds in a range of keys.
--- a/crates/control/src/coordinator/hello.rs
+++ b/crates/control/src/coordinator/hello.rs
@@ -69,5 +69,5 @@
         changes: BackendChanges,
     },
     /// All of it.
-    Whole(Vec<Backend>),
+    Whole(#[serde(with = "protocol::backend_table")] Vec<Backend>),
 }
--- a/crates/control/tests/coordinators/callers.rs
+++ b/crates/control/tests/coordinators/callers.rs
@@ -119,6 +119,9 @@
                 if message == ToAgent::Heartbeat {
                     self.outgoing.send(&FromAgent::Heartbeat).expect("queued");
                 }
+                if matches!(message, ToAgent::BackendsDigest { .. }) && self.list.version == 0 {
+                    self.outgoing.send(&FromAgent::FetchBackends).expect("queued");
+                }
                 heard.borrow_mut().push(format!("{message:?}"));
                 follow(&mut self.list, &message);
                 if let Some(found) = find(message) {
--- a/crates/protocol/src/agent.rs
+++ b/crates/protocol/src/agent.rs
@@ -52,6 +52,10 @@
         /// The version.
         version: u64,
     },
+    /// The agent has no list of backends and wants the whole one.
+    FetchBackends,
+    /// The agent has a list of another coordinator and wants the digest of this one's, to hold against it.
+    FetchBackendsDigest,
     /// The digest of a list did not agree: what does the coordinator hold of it in this range of keys?
     CompareBackends {
         /// The version of the list.
@@ -110,9 +114,9 @@
         #[serde(with = "serde_bytes")]
         document: Vec<u8>,
     },
-    /// A list of backends that is newer than the last one sent on this connection.
+    /// A whole list of backends, as it was asked for.
     Backends(BackendList),
-    /// What a newer list differs in from the last one that was sent or confirmed on this connection.
+    /// What a newer list differs in from the one before it; said on every connection.
     BackendsChanged {
         /// The version of that last one.
         base: u64,
@@ -126,7 +130,8 @@
         /// The version of the read that confirmed it.
         version: u64,
     },
-    /// The digest of the list that this connection was told, for the agent to hold against its own.
+    /// The digest of the coordinator's list, for the agent to hold against its own. Said as a connection comes up, every
+    /// few seconds, and where it was asked for.
     BackendsDigest {
         /// The version of that list.
         version: u64,
@@ -149,6 +154,7 @@
         /// The keys that were asked for.
         keys: Vec<u64>,
         /// The backends.
+        #[serde(with = "crate::backend_table")]
         backends: Vec<Backend>,
     },
     /// The auditor knows nothing of the node's index of prompt parts.
--- a/crates/protocol/src/backends.rs
+++ b/crates/protocol/src/backends.rs
@@ -44,6 +44,7 @@
     /// hand is passed over.
     pub version: u64,
     /// The backends.
+    #[serde(with = "crate::backend_table")]
     pub backends: Vec<Backend>,
 }
 
@@ -51,6 +52,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct BackendChanges {
     /// Backends that are new, or not as before.
+    #[serde(with = "crate::backend_table")]
     pub changed: Vec<Backend>,
     /// The instance ids of those that are gone.
     pub gone: Vec<String>,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod agent;
+pub mod backend_table;
 mod backends;
 mod frame;
 mod index;
@@ -20,4 +21,4 @@
 mod quota_terms;
 
 /// The version of these messages. Peers of another version are told so and turned away.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
--- /dev/null
+++ b/crates/protocol/tests/backend_table.rs
@@ -0,0 +1,46 @@
+//! Lists of backends as they stand in messages.
+
+use bytes::BytesMut;
+use protocol::{Backend, BackendList, BackendState, ToAgent, decode, encode};
+use quickcheck::quickcheck;
+
+fn backend(number: usize, (service, ready, slots): (u8, bool, u32)) -> Backend {
+    Backend {
+        instance_id: format!("i-{number:08x}"),
+        service: format!("service-{service}"),
+        address: format!("10.128.{}.{}:8080", number >> 8 & 255, number & 255).parse().expect("an address"),
+        zone: format!("zone-{}", service % 4),
+        generation: "v1".into(),
+        slots,
+        state: if ready { BackendState::Ready } else { BackendState::Draining },
+        cold_remaining_ms: u64::from(slots) << 3,
+    }
+}
+
+fn message(entries: Vec<(u8, bool, u32)>) -> ToAgent {
+    let backends = entries.into_iter().enumerate().map(|(number, entry)| backend(number, entry)).collect();
+    ToAgent::Backends(BackendList { version: 7, backends })
+}
+
+quickcheck! {
+    fn a_list_comes_out_as_it_went_in(entries: Vec<(u8, bool, u32)>) -> bool {
+        let message = message(entries);
+        let frame = encode(&message).expect("a frame");
+        decode(&mut BytesMut::from(frame.as_slice())).expect("a message") == Some(message)
+    }
+}
+
+#[test]
+fn a_backend_takes_few_bytes() {
+    let frame = encode(&message(vec![(1, true, 64); 1000])).expect("a frame");
+    println!("{} bytes for 1,000 backends", frame.len());
+    assert!(frame.len() < 45_000);
+}
+
+#[test]
+fn a_row_that_refers_to_no_text_is_refused() {
+    let mut frame = encode(&message(vec![(1, true, 64)])).expect("a frame");
+    let texts = frame.windows(3).position(|bytes| bytes == [0x83, 0, 1]).expect("places of texts");
+    frame[texts + 2] = 9;
+    assert!(decode::<ToAgent>(&mut BytesMut::from(frame.as_slice())).is_err());
+}
