--- a/crates/replication/src/agreement.rs
+++ b/crates/replication/src/agreement.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Acceptor {
     pub(crate) promised: Option<Ballot>,
     pub(crate) accepted: Option<Proposal>,
+    /// Whether it will not be synced in the view in force, in whose chain it is.
+    pub(crate) renounced: bool,
     /// When it accepted last.
     pub(crate) accepted_at: Duration,
 }
@@ -32,45 +34,57 @@
     pub(crate) slot: u64,
     pub(crate) ballot: Ballot,
     pub(crate) started: Duration,
+    /// Whether it is for a view that is led by a member which lacks what the view in force may have committed.
+    pub(crate) rescue: bool,
     pub(crate) phase: Phase,
 }
 
+/// What a promise tells of its voter.
+#[derive(Clone, Debug)]
+pub(crate) struct Promised {
+    /// What it has accepted.
+    pub(crate) accepted: Option<Proposal>,
+    /// Whether it is in the chain of the view in force and synced in it.
+    pub(crate) synced: bool,
+}
+
 pub(crate) enum Phase {
-    /// Promises by voter, each with what that voter has accepted.
-    Preparing(BTreeMap<MemberId, Option<Proposal>>),
+    /// Promises by voter.
+    Preparing(BTreeMap<MemberId, Promised>),
     /// The proposal and the voters that have accepted it.
     Accepting(View, BTreeSet<MemberId>),
 }
 
 /// What a promise has led to.
-pub(crate) enum Promised {
+pub(crate) enum Prepared {
     /// More promises are needed.
     Waiting,
     /// A majority has promised; this view was perhaps decided and must be proposed again.
     Bound(View),
     /// A majority has promised, and none has accepted anything.
-    Free,
+    Free {
+        /// Whether one of them is in the chain and synced, so that something may have been committed in the view in force.
+        synced: bool,
+    },
 }
 
 impl Attempt {
-    pub(crate) fn new(slot: u64, ballot: Ballot, now: Duration) -> Self {
-        Attempt { slot, ballot, started: now, phase: Phase::Preparing(BTreeMap::new()) }
+    pub(crate) fn new(slot: u64, ballot: Ballot, rescue: bool, now: Duration) -> Self {
+        Attempt { slot, ballot, started: now, rescue, phase: Phase::Preparing(BTreeMap::new()) }
     }
 
     /// Takes in a promise of a voter; `majority` is how many are needed.
-    pub(crate) fn promised(
-        &mut self,
-        voter: MemberId,
-        accepted: Option<Proposal>,
-        majority: usize,
-    ) -> Promised {
-        let Phase::Preparing(promises) = &mut self.phase else { return Promised::Waiting };
-        promises.insert(voter, accepted);
+    pub(crate) fn promised(&mut self, voter: MemberId, promised: Promised, majority: usize) -> Prepared {
+        let Phase::Preparing(promises) = &mut self.phase else { return Prepared::Waiting };
+        promises.insert(voter, promised);
         if promises.len() < majority {
-            return Promised::Waiting;
+            return Prepared::Waiting;
+        }
+        let accepted = promises.values().filter_map(|promised| promised.accepted.as_ref());
+        if let Some(highest) = accepted.max_by_key(|proposal| proposal.ballot) {
+            return Prepared::Bound(highest.view.clone());
         }
-        let highest = promises.values().flatten().max_by_key(|proposal| proposal.ballot);
-        highest.map_or(Promised::Free, |proposal| Promised::Bound(proposal.view.clone()))
+        Prepared::Free { synced: promises.values().any(|promised| promised.synced) }
     }
 
     /// Takes in an acceptance; gives the view if it is decided by it.
--- a/crates/replication/src/chain.rs
+++ b/crates/replication/src/chain.rs
@@ -94,6 +94,9 @@
     }
 
     fn mark_synced(&mut self) {
+        if self.acceptor.renounced {
+            return;
+        }
         self.holding.sync(self.view_number());
         let effect = self.kept_effect();
         self.store(RecordBody::Synced(self.view_number()), effect);
@@ -214,9 +217,10 @@
         if self.predecessor() != Some(sender) || self.disk.refuses() {
             return;
         }
+        let keeps_more = planted!(self, KeepsUncommitted);
         let same = self.register.newest() == newest
             || planted!(self, SyncsByName)
-            || (planted!(self, KeepsUncommitted) && self.register.newest().sequence >= newest.sequence);
+            || (keeps_more && self.register.newest().sequence >= newest.sequence);
         if !self.is_synced_in_view() && same {
             self.mark_synced();
         } else if self.is_synced_in_view() == self.is_kept_in_view() {
@@ -226,7 +230,7 @@
 
     /// The predecessor hands on the next entry.
     pub(crate) fn append(&mut self, sender: MemberId, previous: EntryKey, entry: Entry) {
-        if self.predecessor() != Some(sender) || self.disk.refuses() {
+        if self.predecessor() != Some(sender) || self.disk.refuses() || self.acceptor.renounced {
             return;
         }
         if self.register.newest() == previous && entry.sequence == previous.sequence + 1 {
@@ -249,7 +253,7 @@
 
     /// The predecessor hands on all that this member lacks.
     pub(crate) fn sync(&mut self, sender: MemberId, transfer: Transfer) {
-        if self.predecessor() != Some(sender) || self.disk.refuses() {
+        if self.predecessor() != Some(sender) || self.disk.refuses() || self.acceptor.renounced {
             return;
         }
         let old = self.is_synced_in_view() && transfer.newest().sequence <= self.register.newest().sequence;
@@ -285,12 +289,18 @@
     pub(crate) fn copy_requested(&mut self, sender: MemberId, newest: EntryKey) {
         if self.register.committed().is_some() {
             let transfer = self.transfer_for(&newest, false);
-            self.send(sender, Body::Copy(Box::new(transfer)));
+            let active = self.is_active();
+            self.send(sender, Body::Copy { transfer: Box::new(transfer), active });
         }
     }
 
-    /// What is committed elsewhere, for a member outside the chain.
-    pub(crate) fn copy(&mut self, transfer: Transfer) {
+    /// What is committed elsewhere, for a member outside the chain. Until all of the chain is synced, what this member holds
+    /// from an earlier view may be the last copy of something committed: it is not given up before.
+    pub(crate) fn copy(&mut self, view: u64, transfer: Transfer, active: bool) {
+        let is_needed = !(active && view == self.view_number()) && !self.register.is_kept_by(&transfer);
+        if is_needed && !planted!(self, CopiesTooSoon) {
+            return;
+        }
         if self.chain_position().is_some() || self.disk.refuses() {
             return;
         }
--- a/crates/replication/src/confirm.rs
+++ b/crates/replication/src/confirm.rs
@@ -1,7 +1,7 @@
-//! Reads, which are answered only once a majority of the voters has confirmed, after the read came, that this view is
-//! the last one.
+//! What is answered only once a majority of the voters has confirmed, after the call came, that this view is the last one:
+//! reads, and answers to changes that follow from what is committed already.
 
-use crate::interface::MemberId;
+use crate::interface::{Answer, MemberId};
 use crate::message::Caller;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -9,14 +9,32 @@
 /// How long after it began a round is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
-/// How many reads may wait; more are dropped, and sent again by those that forward them.
+/// How many calls may wait; more are dropped, and sent again by those that forward them.
 const LONGEST_QUEUE: usize = 256;
 
+/// What a call is answered with once it is confirmed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Reply {
+    /// The newest committed entry.
+    Newest,
+    /// The sequence of the newest committed entry.
+    Sequence,
+    /// An answer that no change which is committed later can alter.
+    Settled(Answer),
+}
+
+/// A call that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) caller: Caller,
+    pub(crate) reply: Reply,
+}
+
 struct Round {
     number: u64,
     asked: Duration,
     confirmed: BTreeSet<MemberId>,
-    readers: Vec<Caller>,
+    calls: Vec<Waiting>,
 }
 
 /// The rounds of confirmation of one member.
@@ -24,7 +42,7 @@
     last: u64,
     current: Option<Round>,
     /// What came after the current round had begun.
-    waiting: Vec<Caller>,
+    waiting: Vec<Waiting>,
 }
 
 impl Rounds {
@@ -34,9 +52,10 @@
         Rounds { last: first, current: None, waiting: Vec::new() }
     }
 
-    pub(crate) fn push(&mut self, reader: Caller) {
-        if self.waiting.len() < LONGEST_QUEUE && !self.waiting.contains(&reader) {
-            self.waiting.push(reader);
+    pub(crate) fn push(&mut self, caller: Caller, reply: Reply) {
+        let known = self.waiting.iter().any(|waiting| waiting.caller == caller);
+        if self.waiting.len() < LONGEST_QUEUE && !known {
+            self.waiting.push(Waiting { caller, reply });
         }
     }
 
@@ -46,8 +65,8 @@
             return None;
         }
         self.last += 1;
-        let readers = std::mem::take(&mut self.waiting);
-        self.current = Some(Round { number: self.last, asked: now, confirmed: BTreeSet::new(), readers });
+        let calls = std::mem::take(&mut self.waiting);
+        self.current = Some(Round { number: self.last, asked: now, confirmed: BTreeSet::new(), calls });
         Some(self.last)
     }
 
@@ -59,7 +78,7 @@
     }
 
     /// Takes in a confirmation: gives what may be answered now.
-    pub(crate) fn confirmed(&mut self, number: u64, voter: MemberId, majority: usize) -> Vec<Caller> {
+    pub(crate) fn confirmed(&mut self, number: u64, voter: MemberId, majority: usize) -> Vec<Waiting> {
         let Some(round) = self.current.as_mut().filter(|round| round.number == number) else {
             return Vec::new();
         };
@@ -67,12 +86,12 @@
         if round.confirmed.len() < majority {
             return Vec::new();
         }
-        self.current.take().map(|round| round.readers).unwrap_or_default()
+        self.current.take().map(|round| round.calls).unwrap_or_default()
     }
 
     /// Nobody waits for this call any more.
     pub(crate) fn forget(&mut self, caller: Caller) {
-        self.waiting.retain(|reader| *reader != caller);
+        self.waiting.retain(|waiting| waiting.caller != caller);
     }
 
     /// Another view is in force.
--- a/crates/replication/src/fault.rs
+++ b/crates/replication/src/fault.rs
@@ -47,4 +47,14 @@
     NeverReplaces,
     /// A call is not sent again when the head has changed.
     CallsOnce,
+    /// The head answers what is settled without asking whether its view is the last one.
+    SettlesUnconfirmed,
+    /// An answer to an earlier life of the process counts.
+    AnswersOtherLives,
+    /// A member outside the chain gives up what it holds before the chain is synced.
+    CopiesTooSoon,
+    /// A view is led by one that lacks what may have been committed.
+    RescuesUnsure,
+    /// A change that may have been taken and forgotten is refused.
+    RefusesForgotten,
 }
--- a/crates/replication/src/head.rs
+++ b/crates/replication/src/head.rs
@@ -100,6 +100,9 @@
     if let Some(sequence) = register.find_committed(&change.digest) {
         return Judgement::Answer(Answer::Taken { sequence });
     }
+    if change.generation <= register.forgotten() {
+        return Judgement::Answer(Answer::TooOld { current });
+    }
     if change.base > current {
         return Judgement::Early;
     }
--- a/crates/replication/src/interface.rs
+++ b/crates/replication/src/interface.rs
@@ -31,6 +31,10 @@
     pub voters: Vec<Member>,
     /// The voters that hold the register, from head to tail.
     pub chain: Vec<MemberId>,
+    /// A number of an earlier view: in the views after it, up to the one before this, nothing was committed, so that whoever
+    /// holds all that was committed up to it may lead. `None` where the view before may have committed something.
+    #[serde(default)]
+    pub idle_since: Option<u64>,
 }
 
 /// A change that an operator sends. The content has been checked before.
@@ -84,8 +88,18 @@
         /// The current generation.
         current: u64,
     },
+    /// The change is so old that it is not known any more whether it was taken: it is as old as those that were forgotten.
+    TooOld {
+        /// The current generation.
+        current: u64,
+    },
     /// The newest committed entry, proven to be so.
     Current(Option<Entry>),
+    /// The sequence of the newest committed entry, proven to be so; 0 if there is none.
+    Proven {
+        /// Its sequence.
+        sequence: u64,
+    },
     /// There is no clear answer: the change may or may not come into force.
     Unclear,
 }
@@ -111,6 +125,8 @@
     Write(CallId, Change),
     /// An operator's question for the newest entry, at whichever member.
     Read(CallId),
+    /// A question for the sequence of the newest entry alone, at whichever member.
+    Prove(CallId),
     /// Nobody waits for this call any more.
     Forget(CallId),
     /// This process has been told to end soon: others are to take over what it does.
@@ -141,6 +157,10 @@
     ViewChanged(View),
 }
 
+/// How many changes that were taken are remembered, so that one which is sent again is recognised. The usual value of
+/// [`Settings::remembered`].
+pub const REMEMBERED: usize = 4_608;
+
 /// How often [`Input::Tick`] is told.
 pub const TICK: Duration = Duration::from_millis(50);
 
@@ -157,6 +177,8 @@
     pub bootstrap: bool,
     /// How many members may be lost at once. There are 2 x this + 1 voters, and the chain has this + 1 members at least.
     pub tolerated: usize,
+    /// How many changes that were taken are remembered; 2 at least.
+    pub remembered: usize,
 }
 
 /// What an operator may want to know of a replica.
--- a/crates/replication/src/membership.rs
+++ b/crates/replication/src/membership.rs
@@ -3,9 +3,9 @@
 use crate::interface::{Member, MemberId, Output, View};
 use crate::message::{Body, Heartbeat, Message};
 use crate::peers::Peer;
-use crate::plan::{Knowledge, Standing, next_view};
+use crate::plan::{Knowledge, Standing, next_view, rescue_view};
 use crate::record::RecordBody;
-use crate::register::EntryKey;
+use crate::register::{EntryKey, Holding};
 use crate::replica::Replica;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -64,6 +64,8 @@
             trouble: self.disk.in_trouble(self.now) && !planted!(self, HidesDiskTrouble),
             leaving: self.leaving,
             complete: self.chain.kept_holding.complete,
+            synced: self.holding.synced,
+            renounced: self.acceptor.renounced,
             committed: self.register.committed_key(),
             newest: self.chain.kept_newest,
             heard: self.peers.heard_list(self.now, &self.other_voters()),
@@ -182,6 +184,9 @@
 
     /// Keeps a view in mind as the newest.
     pub(crate) fn note_view(&mut self, view: &View) {
+        if let Some(since) = view.idle_since {
+            self.holding.pass_idle(since, view.number);
+        }
         if view.chain.contains(&self.id) {
             self.holding.enter(view.number);
         }
@@ -202,6 +207,7 @@
         self.acceptor = Default::default();
         self.attempt = None;
         self.wanted_since = None;
+        self.stuck_since = None;
         self.queue.clear();
         self.rounds.clear();
         self.chain.enter_view();
@@ -220,6 +226,12 @@
         next_view(self.view.as_ref()?, &self.knowledge()?)
     }
 
+    /// The view that should follow where nobody who holds all that is committed is heard: led by one that does so if nothing
+    /// was committed lately, which those who decide are to make sure of.
+    pub(crate) fn rescue_view(&self) -> Option<View> {
+        rescue_view(self.view.as_ref()?, &self.earlier_views, &self.knowledge()?)
+    }
+
     fn knowledge(&self) -> Option<Knowledge> {
         let view = self.view.as_ref()?;
         let members = self.known_members();
@@ -244,6 +256,9 @@
                 member: member.clone(),
                 fit: self.is_heard_by_chain(view, member.id, false),
                 complete: false,
+                holding: Holding::default(),
+                renounced: false,
+                in_view: false,
                 appendable: false,
                 leaving: false,
                 gone: !self.is_heard_by_chain(view, member.id, true),
@@ -257,6 +272,9 @@
             member: beat.member.clone(),
             fit: heard && !beat.trouble && !beat.leaving,
             complete: beat.complete == view.number || planted!(self, LedByAnyone),
+            holding: Holding { synced: beat.synced, complete: beat.complete },
+            renounced: beat.renounced,
+            in_view: heard && peer.view == view.number,
             appendable: steady && peer.view == view.number && self.is_in_step(beat),
             leaving: beat.leaving,
             gone: !lately && !self.is_heard_by_chain(view, member.id, true),
@@ -268,6 +286,9 @@
             member: self.me(),
             fit: !self.leaving && (!self.disk.in_trouble(self.now) || planted!(self, HidesDiskTrouble)),
             complete: self.chain.kept_holding.complete == view.number || planted!(self, LedByAnyone),
+            holding: Holding { synced: self.holding.synced, complete: self.chain.kept_holding.complete },
+            renounced: self.acceptor.renounced,
+            in_view: true,
             appendable: false,
             leaving: self.leaving,
             gone: false,
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -38,11 +38,16 @@
     Prepare {
         slot: u64,
         ballot: Ballot,
+        /// Whether nobody who holds all that is committed is heard: members of the chain that are not synced in this view are
+        /// to renounce it.
+        rescue: bool,
     },
     Promise {
         slot: u64,
         ballot: Ballot,
         accepted: Option<Proposal>,
+        /// Whether the sender is in the chain of this view and synced in it.
+        synced: bool,
     },
     Accept {
         slot: u64,
@@ -75,7 +80,11 @@
         newest: EntryKey,
     },
     /// To a member outside the chain: what it lacks of what is committed.
-    Copy(Box<Transfer>),
+    Copy {
+        transfer: Box<Transfer>,
+        /// Whether all of the chain is synced in this view, so that nothing is needed of a member outside.
+        active: bool,
+    },
     /// A call for the head (a change) or the tail (a read).
     Forward {
         caller: Caller,
@@ -122,6 +131,7 @@
 pub(crate) enum Request {
     Write(Change),
     Read,
+    Prove,
 }
 
 /// What a member says of itself several times a second.
@@ -138,6 +148,10 @@
     pub(crate) leaving: bool,
     /// The number of the last view up to which it holds all that is committed.
     pub(crate) complete: u64,
+    /// The number of the last view in which it is synced.
+    pub(crate) synced: u64,
+    /// Whether it has renounced to be synced in the view that it knows.
+    pub(crate) renounced: bool,
     /// The newest entry that it knows to be committed.
     pub(crate) committed: EntryKey,
     /// The newest entry that it has.
--- a/crates/replication/src/plan.rs
+++ b/crates/replication/src/plan.rs
@@ -1,6 +1,8 @@
 //! Which view is to follow: a pure function of the view and of what one member knows of the others.
 
 use crate::interface::{Member, MemberId, View};
+use crate::register::Holding;
+use std::collections::VecDeque;
 
 /// What is known of a member.
 #[derive(Clone, Debug)]
@@ -10,6 +12,12 @@
     pub(crate) fit: bool,
     /// It holds all that is committed.
     pub(crate) complete: bool,
+    /// How much of what is committed it says to hold.
+    pub(crate) holding: Holding,
+    /// It has renounced to be synced in the view that it knows.
+    pub(crate) renounced: bool,
+    /// It is heard, and knows the view in force.
+    pub(crate) in_view: bool,
     /// It is heard steadily and has copied the register: it may be appended to the chain.
     pub(crate) appendable: bool,
     /// It is told to end.
@@ -58,13 +66,56 @@
     let kept: Vec<MemberId> = survivors.iter().copied().filter(|id| is_among(&voters, *id)).collect();
     let broken = survivors.len() < view.chain.len();
     let chain = if i_am_in_the_chain || broken { with_appended(&kept, &voters, known) } else { kept };
-    if chain == view.chain && voters == view.voters {
+    // One that has renounced this view is synced in the next one only.
+    let renounced = |id: &MemberId| known.standing(*id).is_some_and(|standing| standing.renounced);
+    if chain == view.chain && voters == view.voters && !chain.iter().any(renounced) {
         return None;
     }
     let chain = complete_first(chain, known);
     let enough = chain.len() > known.tolerated.min(voters.len().saturating_sub(1));
     let safe = chain.first().is_some_and(|head| known.is_complete(*head));
-    (enough && safe).then(|| View { number: view.number + 1, voters, chain })
+    (enough && safe).then(|| View { number: view.number + 1, voters, chain, idle_since: None })
+}
+
+/// The view that should follow where nobody is fit who holds all that is committed: among the voters that are fit and hear each
+/// other, one leads that holds all up to an earlier view after which nothing was committed. That is so for a view if a member
+/// of its chain was never synced in it; for the view in force it is left to those who decide.
+pub(crate) fn rescue_view(view: &View, earlier: &VecDeque<View>, known: &Knowledge) -> Option<View> {
+    let fit: Vec<MemberId> =
+        view.voters.iter().map(|voter| voter.id).filter(|id| known.is_fit(*id)).collect();
+    let may_commit = fit.iter().any(|id| known.is_complete(*id));
+    if may_commit || !fit.contains(&known.me) {
+        return None;
+    }
+    let since = idle_since(view, earlier, known);
+    let leads =
+        |id: &MemberId| known.standing(*id).is_some_and(|standing| standing.holding.complete >= since);
+    let whole = |subset: &Vec<MemberId>| {
+        subset.iter().all(|id| known.linked_to_all(*id, subset)) && subset.contains(&known.me)
+    };
+    let able = subsets(&fit).into_iter().filter(|subset| whole(subset) && subset.iter().any(leads));
+    let mut chain = able.max_by_key(Vec::len)?;
+    let head = chain.remove(chain.iter().position(leads)?);
+    chain.insert(0, head);
+    let enough = chain.len() > known.tolerated.min(view.voters.len().saturating_sub(1));
+    let (number, voters) = (view.number + 1, view.voters.clone());
+    enough.then_some(View { number, voters, chain, idle_since: Some(since) })
+}
+
+/// The number of the earliest view such that nothing was committed in any after it, but for the one in force.
+fn idle_since(view: &View, earlier: &VecDeque<View>, known: &Knowledge) -> u64 {
+    let was_never_synced = |number: u64, id: MemberId| {
+        known.standing(id).is_some_and(|standing| standing.in_view && standing.holding.synced < number)
+    };
+    let was_idle = |earlier: &&View| earlier.chain.iter().any(|id| was_never_synced(earlier.number, *id));
+    let mut since = view.number - 1;
+    for before in earlier.iter().rev() {
+        if before.number != since || !was_idle(&before) {
+            break;
+        }
+        since -= 1;
+    }
+    since
 }
 
 /// The largest part of the chain whose members are fit and hear each other, the first in the order of the chain among
--- a/crates/replication/src/record.rs
+++ b/crates/replication/src/record.rs
@@ -16,7 +16,13 @@
     /// A decided view.
     View(View),
     /// The promise to take no lower ballot for the view of number `slot`.
-    Promise { slot: u64, ballot: Ballot },
+    Promise {
+        slot: u64,
+        ballot: Ballot,
+        /// Whether this member will not be synced in the view before that one.
+        #[serde(default)]
+        renounced: bool,
+    },
     /// The acceptance of a proposal for the view of number `slot`.
     Accept { slot: u64, proposal: Proposal },
     /// The next entry, and the number of the view in which this member is synced.
@@ -31,7 +37,7 @@
 const RECORD_OVERHEAD: usize = 512;
 
 /// What the key of an entry takes on disk, in bytes.
-const KEY_BYTES: usize = 64;
+const KEY_BYTES: usize = 96;
 
 impl RecordBody {
     /// About how many bytes it takes on disk.
--- a/crates/replication/src/register.rs
+++ b/crates/replication/src/register.rs
@@ -1,12 +1,9 @@
 //! The register: the newest entry, the one before it while the newest is not committed, and the keys of older ones.
 
-use crate::interface::Entry;
+use crate::interface::{Change, Entry, REMEMBERED};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
-/// How many keys of entries are remembered, so that a change which is sent again is recognised.
-pub(crate) const REMEMBERED: usize = 4_608;
-
 /// What tells an entry from every other one. Two members whose newest entries have the same key have the same history.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EntryKey {
@@ -14,11 +11,15 @@
     pub(crate) view: u64,
     #[serde(with = "serde_bytes")]
     pub(crate) digest: [u8; 32],
+    /// The generation of the change.
+    #[serde(default)]
+    pub(crate) generation: u64,
 }
 
 impl EntryKey {
     pub(crate) fn of(entry: &Entry) -> Self {
-        EntryKey { sequence: entry.sequence, view: entry.view, digest: entry.change.digest }
+        let Change { digest, generation, .. } = entry.change;
+        EntryKey { sequence: entry.sequence, view: entry.view, digest, generation }
     }
 }
 
@@ -39,6 +40,13 @@
         self.complete = number;
     }
 
+    /// A view of this number follows, and nothing was committed in those before it after the one of number `since`.
+    pub(crate) fn pass_idle(&mut self, since: u64, number: u64) {
+        if self.complete >= since {
+            self.complete = self.complete.max(number - 1);
+        }
+    }
+
     /// A view of this number, whose chain it is in, follows the one that it knew.
     pub(crate) fn enter(&mut self, number: u64) {
         if self.complete + 1 == number {
@@ -56,6 +64,9 @@
     pub(crate) keys: Vec<EntryKey>,
     pub(crate) committed: Option<Entry>,
     pub(crate) pending: Option<Entry>,
+    /// The generation of the newest entry whose key was forgotten; 0 for none.
+    #[serde(default)]
+    pub(crate) forgotten: u64,
 }
 
 impl Transfer {
@@ -66,8 +77,12 @@
 }
 
 /// One member's copy of the register.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Register {
+    /// How many keys are remembered.
+    remembered: usize,
+    /// The generation of the newest entry whose key was forgotten; 0 for none.
+    forgotten: u64,
     /// Keys in order, that of the newest entry last.
     keys: VecDeque<EntryKey>,
     committed: Option<Entry>,
@@ -75,7 +90,24 @@
     pending: Option<Entry>,
 }
 
+impl Default for Register {
+    fn default() -> Self {
+        Register::remembering(REMEMBERED)
+    }
+}
+
 impl Register {
+    /// An empty one that remembers so many keys, 2 at least.
+    pub(crate) fn remembering(remembered: usize) -> Self {
+        let keys = VecDeque::new();
+        Register { remembered: remembered.max(2), forgotten: 0, keys, committed: None, pending: None }
+    }
+
+    /// The generation of the newest entry whose key was forgotten: of changes up to it nobody knows whether they were taken.
+    pub(crate) fn forgotten(&self) -> u64 {
+        self.forgotten
+    }
+
     /// The key of the newest entry; the default one if there is none.
     pub(crate) fn newest(&self) -> EntryKey {
         self.keys.back().copied().unwrap_or_default()
@@ -137,8 +169,9 @@
     }
 
     fn forget_old(&mut self) {
-        while self.keys.len() > REMEMBERED {
-            self.keys.pop_front();
+        while self.keys.len() > self.remembered {
+            let oldest = self.keys.pop_front();
+            self.forgotten = oldest.map_or(self.forgotten, |key| self.forgotten.max(key.generation));
         }
     }
 
@@ -162,11 +195,24 @@
             keys: self.keys.range(start..end).copied().collect(),
             committed: self.committed.clone(),
             pending: self.pending.clone().filter(|_| with_pending),
+            forgotten: self.forgotten,
         }
     }
 
+    /// Whether nothing of what is here is given up for what another member hands on.
+    pub(crate) fn is_kept_by(&self, transfer: &Transfer) -> bool {
+        let newest = self.newest();
+        transfer.base == Some(newest) || newest == EntryKey::default() || transfer.keys.contains(&newest)
+    }
+
     /// Takes over what another member has handed on. False if it builds upon a key that is not known here.
+    ///
+    /// # Panics
+    ///
+    /// If that has another entry in the place of one that is committed: two histories, of which no member may go on with
+    /// either.
     pub(crate) fn take_over(&mut self, transfer: &Transfer) -> bool {
+        let committed = self.committed_key();
         match &transfer.base {
             None => self.keys.clear(),
             Some(base) => {
@@ -175,12 +221,31 @@
             }
         }
         self.keys.extend(transfer.keys.iter().copied());
+        self.forgotten = self.forgotten.max(transfer.forgotten);
         self.forget_old();
         self.committed = transfer.committed.clone();
         self.pending = transfer.pending.clone();
+        self.assert_holds(&committed);
+        self.commit(committed.sequence);
         true
     }
 
+    /// Ends the process where an entry that is committed was replaced or lost.
+    fn assert_holds(&self, committed: &EntryKey) {
+        let oldest = self.keys.front().map_or(0, |key| key.sequence);
+        let held = committed.sequence < oldest || self.contains(committed);
+        assert!(held, "entry {} is committed, and another history would take its place", committed.sequence);
+    }
+
+    /// Ends the process where the parts do not fit to one another.
+    pub(crate) fn assert_is_sound(&self) {
+        let committed = self.committed_key().sequence;
+        let follows = self.pending.as_ref().is_none_or(|pending| pending.sequence == committed + 1);
+        assert!(follows, "the entry that waits does not follow {committed}, which is committed");
+        let newest = self.newest_entry().map(EntryKey::of).unwrap_or_default();
+        assert!(self.newest() == newest, "the newest key is not that of the newest entry");
+    }
+
     /// All of it, for a rewrite of the log.
     pub(crate) fn whole(&self) -> Transfer {
         Transfer {
@@ -188,6 +253,7 @@
             keys: self.keys.iter().copied().collect(),
             committed: self.committed.clone(),
             pending: self.pending.clone(),
+            forgotten: self.forgotten,
         }
     }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -1,6 +1,6 @@
 //! The replica: its state, and where each input goes.
 
-use crate::agreement::{Acceptor, Attempt};
+use crate::agreement::{Acceptor, Attempt, Promised};
 use crate::calls::Calls;
 use crate::chain::ChainState;
 use crate::confirm::Rounds;
@@ -45,6 +45,8 @@
     pub(crate) not_before: Duration,
     /// Since when another view is wanted.
     pub(crate) wanted_since: Option<Duration>,
+    /// Since when nobody who may lead is heard.
+    pub(crate) stuck_since: Option<Duration>,
     pub(crate) register: Register,
     pub(crate) holding: Holding,
     pub(crate) chain: ChainState,
@@ -93,7 +95,6 @@
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let life = random.next_u64() >> 1;
         Replica {
-            settings,
             id: MemberId(0),
             life,
             random,
@@ -107,7 +108,9 @@
             highest_round: 0,
             not_before: now,
             wanted_since: None,
-            register: Register::default(),
+            stuck_since: None,
+            register: Register::remembering(settings.remembered),
+            settings,
             holding: Holding::default(),
             chain: ChainState::default(),
             disk: Disk::new(0),
@@ -145,6 +148,7 @@
             Input::NotStored(id) => self.not_stored(id),
             Input::Write(call, change) => self.call(call, Request::Write(change)),
             Input::Read(call) => self.call(call, Request::Read),
+            Input::Prove(call) => self.call(call, Request::Prove),
             Input::Forget(call) => self.forget(call),
             Input::Leave => self.leave(),
             Input::Seeds(seeds) => self.settings.seeds = seeds,
@@ -163,6 +167,11 @@
         self.is_head() && self.is_active() && !self.leaving && self.is_in_touch()
     }
 
+    /// The same at `now`, which may be later than the last input: what was true before a process was halted counts no more.
+    pub fn is_acting_head_at(&self, now: Duration) -> bool {
+        self.is_head() && self.is_active() && !self.leaving && self.is_in_touch_at(now)
+    }
+
     /// What an operator may want to know.
     pub fn status(&self) -> Status {
         Status {
@@ -194,6 +203,7 @@
             self.received(self.settings.address, message);
         }
         self.announce();
+        self.register.assert_is_sound();
     }
 
     fn received(&mut self, from: SocketAddrV4, message: Message) {
@@ -206,7 +216,7 @@
             Body::Forward { caller, request } => self.request(caller, request),
             Body::Reply { caller, answer } => self.answer(caller, answer),
             Body::CopyRequest { newest } => self.copy_requested(sender, newest),
-            Body::Copy(transfer) => self.copy(*transfer),
+            Body::Copy { transfer, active } => self.copy(message.view, *transfer, active),
             body if same_view => self.received_in_view(sender, body),
             _ => {}
         }
@@ -215,8 +225,10 @@
     /// What counts only between members that know the same view.
     fn received_in_view(&mut self, sender: MemberId, body: Body) {
         match body {
-            Body::Prepare { slot, ballot } => self.prepare(sender, slot, ballot),
-            Body::Promise { slot, ballot, accepted } => self.promise(sender, slot, ballot, accepted),
+            Body::Prepare { slot, ballot, rescue } => self.prepare(sender, slot, ballot, rescue),
+            Body::Promise { slot, ballot, accepted, synced } => {
+                self.promise(sender, slot, ballot, Promised { accepted, synced });
+            }
             Body::Accept { slot, proposal } => self.accept(sender, slot, proposal),
             Body::Accepted { slot, ballot } => self.accepted(sender, slot, ballot),
             Body::Refused { slot, promised } => self.refused(slot, promised),
@@ -255,7 +267,11 @@
 
     /// Whether messages have gone both ways between this member and a majority of the voters lately.
     pub(crate) fn is_in_touch(&self) -> bool {
-        let reached = |id| id == self.id || self.peers.exchanged(self.now, id, IN_TOUCH);
+        self.is_in_touch_at(self.now)
+    }
+
+    fn is_in_touch_at(&self, now: Duration) -> bool {
+        let reached = |id| id == self.id || self.peers.exchanged(now, id, IN_TOUCH);
         let count = self.voters().iter().filter(|voter| reached(voter.id)).count();
         !self.voters().is_empty() && count >= self.majority()
     }
--- a/crates/replication/src/serving.rs
+++ b/crates/replication/src/serving.rs
@@ -1,5 +1,6 @@
 //! Calls from outside: forwarded to the head or the tail, and answered there.
 
+use crate::confirm::Reply;
 use crate::head::{Judgement, judge};
 use crate::interface::{Answer, CallId, Change, Entry, MemberId, Output};
 use crate::message::{Body, Caller, Request};
@@ -49,7 +50,7 @@
             let caller = self.caller(id);
             let server = match &request {
                 Request::Write(_) => head,
-                Request::Read => tail,
+                Request::Read | Request::Prove => tail,
             };
             self.forward(server, caller, request);
         }
@@ -79,7 +80,7 @@
         let Some(view) = &self.view else { return };
         let server = match &request {
             Request::Write(_) => view.chain.first().copied(),
-            Request::Read => view.chain.last().copied(),
+            Request::Read | Request::Prove => view.chain.last().copied(),
         };
         let caller = Caller { relay: Some(self.id), ..caller };
         if let Some(server) = server.filter(|server| *server != self.id) {
@@ -95,9 +96,9 @@
                 if planted!(self, ReadsUnconfirmed) {
                     return self.reply(caller, Answer::Current(self.register.committed().cloned()));
                 }
-                self.rounds.push(caller);
-                self.begin_round();
+                self.reply_once_confirmed(caller, Reply::Newest);
             }
+            Request::Prove if self.is_tail() => self.reply_once_confirmed(caller, Reply::Sequence),
             request if caller.relay.is_none() && caller.member != self.id => self.relay(caller, request),
             _ => {}
         }
@@ -106,7 +107,7 @@
     fn request_change(&mut self, caller: Caller, change: Change) {
         let known = self.register.find_committed(&change.digest);
         if let Some(sequence) = known.filter(|_| !planted!(self, ForgetsDigests)) {
-            return self.reply(caller, Answer::Taken { sequence });
+            return self.reply_settled(caller, Answer::Taken { sequence });
         }
         let pending = self.register.pending().map(|entry| entry.change.digest);
         if pending == Some(change.digest) {
@@ -132,7 +133,9 @@
             let Some(waiting) = self.queue.pop(self.register.generation()) else { return };
             match self.judge(&waiting.change) {
                 Judgement::Take => self.take(waiting.change, waiting.callers),
-                Judgement::Answer(answer) => self.reply_all(waiting.callers, &answer),
+                Judgement::Answer(answer) => {
+                    waiting.callers.into_iter().for_each(|caller| self.reply_settled(caller, answer.clone()));
+                }
                 Judgement::Early => self.queue.keep_early(waiting),
             }
         }
@@ -146,7 +149,12 @@
         if planted!(self, ForgetsDigests) && change.base < current {
             return Judgement::Answer(Answer::Conflict { current });
         }
-        judge(&self.register, change)
+        match judge(&self.register, change) {
+            Judgement::Answer(Answer::TooOld { current }) if planted!(self, RefusesForgotten) => {
+                Judgement::Answer(Answer::Conflict { current })
+            }
+            judgement => judgement,
+        }
     }
 
     /// Gives a change its place.
@@ -156,10 +164,18 @@
         self.keep_entry(Entry { sequence, view: self.view_number(), change });
     }
 
-    fn reply_all(&mut self, callers: Vec<Caller>, answer: &Answer) {
-        for caller in callers {
-            self.reply(caller, answer.clone());
+    /// Answers with what is settled for good. True as that is, a head that is cut off says nothing: whoever calls it is to
+    /// find one that knows what is current.
+    fn reply_settled(&mut self, caller: Caller, answer: Answer) {
+        if planted!(self, SettlesUnconfirmed) {
+            return self.reply(caller, answer);
         }
+        self.reply_once_confirmed(caller, Reply::Settled(answer));
+    }
+
+    fn reply_once_confirmed(&mut self, caller: Caller, reply: Reply) {
+        self.rounds.push(caller, reply);
+        self.begin_round();
     }
 
     fn reply(&mut self, caller: Caller, answer: Answer) {
@@ -175,7 +191,10 @@
     pub(crate) fn answer(&mut self, caller: Caller, answer: Answer) {
         if caller.relay == Some(self.id) && caller.member != self.id {
             self.send(caller.member, Body::Reply { caller, answer });
-        } else if caller.member == self.id && caller.life == self.life && self.calls.remove(caller.call) {
+        } else if caller.member == self.id
+            && (caller.life == self.life || planted!(self, AnswersOtherLives))
+            && self.calls.remove(caller.call)
+        {
             self.outputs.push(Output::Answer(caller.call, answer));
         }
     }
@@ -202,8 +221,13 @@
             return;
         }
         let majority = self.majority();
-        for reader in self.rounds.confirmed(round, sender, majority) {
-            self.reply(reader, Answer::Current(self.register.committed().cloned()));
+        for waiting in self.rounds.confirmed(round, sender, majority) {
+            let answer = match waiting.reply {
+                Reply::Newest => Answer::Current(self.register.committed().cloned()),
+                Reply::Sequence => Answer::Proven { sequence: self.register.committed_key().sequence },
+                Reply::Settled(answer) => answer,
+            };
+            self.reply(waiting.caller, answer);
         }
         self.begin_round();
     }
--- a/crates/replication/src/storing.rs
+++ b/crates/replication/src/storing.rs
@@ -27,7 +27,7 @@
     let member = |address| Member { id: derived_identity(address), address, zone: String::new() };
     let voters: Vec<Member> = addresses.into_iter().map(member).collect();
     let chain = voters.iter().map(|voter| voter.id).collect();
-    View { number: 1, voters, chain }
+    View { number: 1, voters, chain, idle_since: None }
 }
 
 impl Replica {
@@ -65,7 +65,10 @@
                 self.note_view(&view);
                 self.acceptor = Default::default();
             }
-            RecordBody::Promise { slot, ballot } if slot == next => self.acceptor.promised = Some(ballot),
+            RecordBody::Promise { slot, ballot, renounced } if slot == next => {
+                self.acceptor.promised = Some(ballot);
+                self.acceptor.renounced |= renounced;
+            }
             RecordBody::Accept { slot, proposal } if slot == next => self.acceptor.accept(self.now, proposal),
             RecordBody::Promise { .. } | RecordBody::Accept { .. } => {}
             RecordBody::Entry { entry, synced } => {
@@ -159,7 +162,8 @@
         records.extend(self.view.clone().map(RecordBody::View));
         let accepted = self.acceptor.accepted.clone();
         records.extend(accepted.map(|proposal| RecordBody::Accept { slot, proposal }));
-        records.extend(self.acceptor.promised.map(|ballot| RecordBody::Promise { slot, ballot }));
+        let renounced = self.acceptor.renounced;
+        records.extend(self.acceptor.promised.map(|ballot| RecordBody::Promise { slot, ballot, renounced }));
         records.push(RecordBody::Transfer { transfer: self.register.whole(), holding: self.holding });
         records
     }
--- a/crates/replication/src/voting.rs
+++ b/crates/replication/src/voting.rs
@@ -1,6 +1,6 @@
 //! This member as voter and as proposer of the next view.
 
-use crate::agreement::{Attempt, Phase, Promised};
+use crate::agreement::{Attempt, Phase, Prepared, Promised};
 use crate::disk::Effect;
 use crate::interface::{MemberId, View};
 use crate::message::{Ballot, Body, Proposal};
@@ -22,6 +22,9 @@
 /// How long an accepted view may be undecided before another voter takes it up: its proposer may be gone.
 const UNDECIDED_AFTER: Duration = Duration::from_millis(300);
 
+/// How long nobody who may lead must have been heard before the next best does. Most who are away come back sooner.
+const RESCUE_AFTER: Duration = Duration::from_millis(2_000);
+
 impl Replica {
     /// Proposes a view if one is wanted and it is this member's turn.
     pub(crate) fn tend_views(&mut self) {
@@ -36,15 +39,31 @@
         self.wanted_since = wanted.as_ref().map(|_| self.wanted_since.unwrap_or(self.now));
         let turn = wanted.is_some_and(|view| self.is_my_turn(&view));
         if (turn || self.is_undecided_for_long()) && self.now >= self.not_before {
-            self.begin_attempt();
+            return self.begin_attempt(false);
+        }
+        self.tend_rescue();
+    }
+
+    /// Proposes a view that is led by the next best, once nobody who may lead was heard for long.
+    fn tend_rescue(&mut self) {
+        let rescue = self.rescue_view();
+        self.stuck_since = rescue.as_ref().map(|_| self.stuck_since.unwrap_or(self.now));
+        let (Some(view), Some(since)) = (rescue, self.stuck_since) else { return };
+        if self.now >= since + RESCUE_AFTER + self.rank_pause(&view) && self.now >= self.not_before {
+            self.begin_attempt(true);
         }
     }
 
     fn is_my_turn(&self, wanted: &View) -> bool {
+        let pause = self.rank_pause(wanted);
+        self.wanted_since.is_some_and(|since| self.now >= since + pause)
+    }
+
+    /// How much longer than the first this member waits before it proposes a view.
+    fn rank_pause(&self, wanted: &View) -> Duration {
         let in_chain = wanted.chain.iter().position(|id| *id == self.id);
         let rank = in_chain.unwrap_or(wanted.chain.len() + self.voter_rank());
-        let pause = RANK_PAUSE * u32::try_from(rank).unwrap_or(u32::MAX);
-        self.wanted_since.is_some_and(|since| self.now >= since + pause)
+        RANK_PAUSE * u32::try_from(rank).unwrap_or(u32::MAX)
     }
 
     fn voter_rank(&self) -> usize {
@@ -56,13 +75,13 @@
         self.acceptor.accepted.is_some() && self.now >= self.acceptor.accepted_at + pause
     }
 
-    fn begin_attempt(&mut self) {
+    fn begin_attempt(&mut self, rescue: bool) {
         let slot = self.view_number() + 1;
         let promised = self.acceptor.promised.map_or(0, |ballot| ballot.round);
         self.highest_round = self.highest_round.max(promised) + 1;
         let ballot = Ballot { round: self.highest_round, member: self.id, life: self.life };
-        self.attempt = Some(Attempt::new(slot, ballot, self.now));
-        self.send_to_voters(&Body::Prepare { slot, ballot });
+        self.attempt = Some(Attempt::new(slot, ballot, rescue, self.now));
+        self.send_to_voters(&Body::Prepare { slot, ballot, rescue });
     }
 
     fn give_up_attempt(&mut self) {
@@ -71,7 +90,7 @@
         self.not_before = self.now + Duration::from_millis(pause);
     }
 
-    pub(crate) fn prepare(&mut self, sender: MemberId, slot: u64, ballot: Ballot) {
+    pub(crate) fn prepare(&mut self, sender: MemberId, slot: u64, ballot: Ballot, rescue: bool) {
         if !self.may_vote(sender, slot) {
             return;
         }
@@ -80,11 +99,15 @@
         }
         self.acceptor.promised = Some(ballot);
         let accepted = self.acceptor.accepted.clone();
-        let promise = Body::Promise { slot, ballot, accepted };
+        let in_chain = self.chain_position().is_some();
+        let synced = in_chain && self.holding.synced == self.view_number();
+        self.acceptor.renounced |= rescue && in_chain && !synced && !planted!(self, RescuesUnsure);
+        let renounced = self.acceptor.renounced;
+        let promise = Body::Promise { slot, ballot, accepted, synced };
         if planted!(self, PromiseNotStored) {
             return self.send(sender, promise);
         }
-        self.store(RecordBody::Promise { slot, ballot }, Effect::Send(sender, Box::new(promise)));
+        self.store(RecordBody::Promise { slot, ballot, renounced }, Effect::Send(sender, Box::new(promise)));
     }
 
     pub(crate) fn accept(&mut self, sender: MemberId, slot: u64, proposal: Proposal) {
@@ -124,13 +147,7 @@
         }
     }
 
-    pub(crate) fn promise(
-        &mut self,
-        sender: MemberId,
-        slot: u64,
-        ballot: Ballot,
-        accepted: Option<Proposal>,
-    ) {
+    pub(crate) fn promise(&mut self, sender: MemberId, slot: u64, ballot: Ballot, promised: Promised) {
         let majority = self.majority();
         let voter = self.is_voter(sender);
         let Some(attempt) = self.attempt.as_mut().filter(|own| own.slot == slot && own.ballot == ballot)
@@ -140,11 +157,14 @@
         if !voter {
             return;
         }
-        let proposed = match attempt.promised(sender, accepted, majority) {
-            Promised::Waiting => return,
-            Promised::Bound(_) if planted!(self, ForgetsAcceptedViews) => self.wanted_view(),
-            Promised::Bound(view) => Some(view),
-            Promised::Free => self.wanted_view(),
+        let rescue = attempt.rescue;
+        let proposed = match attempt.promised(sender, promised, majority) {
+            Prepared::Waiting => return,
+            Prepared::Bound(_) if planted!(self, ForgetsAcceptedViews) => self.wanted_view(),
+            Prepared::Bound(view) => Some(view),
+            Prepared::Free { synced: false } if rescue => self.rescue_view(),
+            Prepared::Free { .. } if rescue && planted!(self, RescuesUnsure) => self.rescue_view(),
+            Prepared::Free { .. } => self.wanted_view(),
         };
         match proposed {
             Some(view) => self.propose(slot, ballot, view),
--- a/crates/replication/tests/planted_faults.rs
+++ b/crates/replication/tests/planted_faults.rs
@@ -5,7 +5,8 @@
 use replication::Fault;
 use simulation::losses::{Loss, longest_outage};
 use simulation::ms;
-use simulation::schedule::{Schedule, draw_storm, draw_world};
+use simulation::schedule::{Schedule, draw_overlaps, draw_storm, draw_world};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
 /// How many seeds are tried.
 const TRIED: u64 = 3_000;
@@ -16,14 +17,47 @@
 /// The first seed from `first` on in which a fault breaks a rule, and the rule. Every other schedule is a storm.
 fn caught(fault: Fault, first: u64) -> Option<(u64, String)> {
     (first..first + TRIED).find_map(|seed| {
-        let mut schedule =
+        let schedule =
             if seed.is_multiple_of(2) { draw_storm(seed) } else { Schedule::new(draw_world(seed)) };
-        schedule.world.fault = Some(fault);
-        schedule.play(ms(30_000));
-        schedule.world.checker.broken.map(|broken| (seed, broken))
+        noticed(schedule, fault).map(|broken| (seed, broken))
     })
 }
 
+/// The same where losses overlap.
+fn caught_in_overlaps(fault: Fault, first: u64) -> Option<(u64, String)> {
+    (first..first + TRIED).find_map(|seed| noticed(draw_overlaps(seed), fault).map(|broken| (seed, broken)))
+}
+
+/// What a fault leads to: a broken rule, or a member that ends itself as it finds two histories.
+fn noticed(mut schedule: Schedule, fault: Fault) -> Option<String> {
+    schedule.world.fault = Some(fault);
+    match catch_unwind(AssertUnwindSafe(|| schedule.play(ms(30_000)))) {
+        Ok(()) => schedule.world.checker.broken,
+        Err(_) => Some("a member has ended itself".into()),
+    }
+}
+
+/// One test for each fault that shows where losses overlap, with the seed to begin with.
+macro_rules! caught_where_losses_overlap {
+    ($($test:ident: $fault:ident from $first:literal,)*) => {
+        $(
+            #[test]
+            fn $test() {
+                let (seed, broken) = caught_in_overlaps(Fault::$fault, $first).expect("the fault breaks a rule");
+                println!("{:?}: seed {seed}: {broken}", Fault::$fault);
+            }
+        )*
+    };
+}
+
+caught_where_losses_overlap! {
+    rescues_unsure: RescuesUnsure from 1,
+    refuses_forgotten: RefusesForgotten from 1,
+    hands_on_before_stored_where_losses_overlap: HandsOnBeforeStored from 1,
+    keeps_lost_identity_where_losses_overlap: KeepsLostIdentity from 1,
+    led_by_anyone_where_losses_overlap: LedByAnyone from 1,
+}
+
 /// One test for each fault, with the seed to begin with: one that caught it, so that the test is short.
 macro_rules! caught_in_schedules {
     ($($test:ident: $fault:ident from $first:literal,)*) => {
--- a/crates/replication/tests/schedules.rs
+++ b/crates/replication/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 mod simulation;
 
-use simulation::schedule::{Schedule, draw_storm, draw_world};
+use simulation::schedule::{Schedule, draw_overlaps, draw_storm, draw_world};
 use simulation::{ms, seeds};
 use std::ops::Range;
 
@@ -17,6 +17,13 @@
     play(draw_storm, 60);
 }
 
+/// Losses overlap beyond what is tolerated, but no more disks are lost than that: changes may rest, and nothing that was
+/// acknowledged is lost.
+#[test]
+fn nothing_is_lost_where_losses_overlap() {
+    play(draw_overlaps, 60);
+}
+
 #[test]
 fn voters_say_only_what_is_on_their_disks() {
     let draw = |seed| {
@@ -69,7 +76,12 @@
 fn one_seed_told_in_full() {
     let seed = seeds(1).start;
     let storm = std::env::var("STORM").is_ok();
-    let mut schedule = if storm { draw_storm(seed) } else { Schedule::new(draw_world(seed)) };
+    let overlaps = std::env::var("OVERLAPS").is_ok();
+    let mut schedule = match (storm, overlaps) {
+        (true, _) => draw_storm(seed),
+        (_, true) => draw_overlaps(seed),
+        _ => Schedule::new(draw_world(seed)),
+    };
     schedule.world.talks = true;
     schedule.play(ms(30_000));
     println!("{:?}", schedule.world.checker.broken);
--- a/crates/replication/tests/simulation/checker.rs
+++ b/crates/replication/tests/simulation/checker.rs
@@ -86,7 +86,8 @@
             }
             Answer::Conflict { .. } | Answer::NotHigher { .. } => self.refused(change),
             Answer::Unclear => self.unclear += 1,
-            Answer::Current(_) => self.fail("a change is answered as a read".into()),
+            Answer::TooOld { .. } => self.unclear += 1,
+            Answer::Current(_) | Answer::Proven { .. } => self.fail("a change is answered as a read".into()),
         }
     }
 
@@ -98,6 +99,15 @@
         }
     }
 
+    /// Somebody is told the sequence of the newest entry, having asked at `begun`.
+    pub fn proven(&mut self, begun: Duration, now: Duration, sequence: u64) {
+        if sequence < self.seen_before(begun) {
+            let seen = self.seen_before(begun);
+            self.fail(format!("{sequence} is told as the newest, {seen} was seen before that was asked"));
+        }
+        self.saw(now, sequence);
+    }
+
     /// An operator gets an answer to a read that it began at `begun`.
     pub fn read(&mut self, begun: Duration, now: Duration, entry: Option<&Entry>) {
         self.reads += 1;
--- a/crates/replication/tests/simulation/operators.rs
+++ b/crates/replication/tests/simulation/operators.rs
@@ -15,6 +15,7 @@
 pub enum Order {
     Write(Change),
     Read,
+    Prove,
 }
 
 #[derive(Clone, Debug)]
@@ -83,9 +84,10 @@
     pub fn learn(&mut self, job: &Job, answer: &Answer) {
         match (&job.order, answer) {
             (Order::Write(change), Answer::Taken { .. }) => self.known = self.known.max(change.generation),
-            (_, Answer::Conflict { current } | Answer::NotHigher { current }) => {
-                self.known = self.known.max(*current)
-            }
+            (
+                _,
+                Answer::Conflict { current } | Answer::NotHigher { current } | Answer::TooOld { current },
+            ) => self.known = self.known.max(*current),
             (_, Answer::Current(Some(entry))) => self.known = self.known.max(entry.change.generation),
             _ => {}
         }
--- a/crates/replication/tests/simulation/schedule.rs
+++ b/crates/replication/tests/simulation/schedule.rs
@@ -13,6 +13,9 @@
 /// How long after everything is healed a change must have been taken, with all in the chain.
 const RECOVERED: Duration = Duration::from_millis(3_500);
 
+/// The same where more was lost at once than is tolerated.
+const RECOVERED_FROM_OVERLAP: Duration = Duration::from_millis(12_000);
+
 const STEP: Duration = Duration::from_millis(20);
 
 /// Something that ends.
@@ -32,6 +35,10 @@
     calm_at: Duration,
     /// Whether the network is bad and processes are killed all the time, so that views meet.
     pub stormy: bool,
+    /// Whether disks are lost also while other machines are away. No more disks than are tolerated are lost between two
+    /// moments at which all was whole.
+    pub overlaps: bool,
+    disks_lost: usize,
     /// The longest pause between troubles in a storm, in ms.
     longest_pause: u64,
     /// What has happened, for a failure's report.
@@ -77,6 +84,15 @@
     Schedule { stormy: true, longest_pause, ..Schedule::new(world) }
 }
 
+/// A world in which losses overlap. In some, few of the changes that were taken are remembered.
+pub fn draw_overlaps(seed: u64) -> Schedule {
+    let mut world = draw_world(seed);
+    if seed.is_multiple_of(3) {
+        world.remembered = 4;
+    }
+    Schedule { overlaps: true, ..Schedule::new(world) }
+}
+
 impl Schedule {
     pub fn new(world: World) -> Self {
         let now = world.now;
@@ -87,6 +103,8 @@
             next_order: now,
             calm_at: now,
             stormy: false,
+            overlaps: false,
+            disks_lost: 0,
             longest_pause: 300,
             story: Vec::new(),
         }
@@ -104,6 +122,9 @@
     fn step(&mut self, troubles: bool) {
         self.world.run_until(self.world.now + STEP);
         self.end_what_is_over();
+        if self.disks_lost > 0 && self.all_count() && self.world.whole() {
+            self.disks_lost = 0;
+        }
         let now = self.world.now;
         if now >= self.next_order {
             self.some_order();
@@ -136,6 +157,8 @@
                 let world = &mut self.world;
                 let change = world.operators.draw_change(&mut world.random);
                 self.world.order(machine, Order::Write(change));
+            } else if self.overlaps && self.world.random.random() {
+                self.world.order(machine, Order::Prove);
             } else {
                 self.world.order(machine, Order::Read);
             }
@@ -229,7 +252,13 @@
         if self.stormy {
             return self.some_short_trouble();
         }
-        if self.all_count() {
+        if self.overlaps
+            && self.disks_lost < self.world.tolerated
+            && self.world.random.random_range(0..4) == 0
+        {
+            return self.lose_a_disk();
+        }
+        if self.all_count() && self.disks_lost == 0 {
             self.check_whole();
             if self.world.random.random_range(0..3) > 0 {
                 return self.lose_disks();
@@ -310,6 +339,7 @@
             return self.replace();
         }
         let power = self.world.random.random_range(0..2) == 0;
+        self.disks_lost = self.world.tolerated;
         for _ in 0..self.world.tolerated {
             let machine = present.swap_remove(self.world.random.random_range(0..present.len()));
             self.tell(format!("{machine} loses its disk"));
@@ -322,12 +352,28 @@
         self.until(self.world.now + down);
     }
 
+    /// One disk is lost, whatever else is away, perhaps as all others lose power.
+    fn lose_a_disk(&mut self) {
+        let present = self.present();
+        let machine = present[self.world.random.random_range(0..present.len())];
+        let down = ms(self.world.random.random_range(50..1_000));
+        self.disks_lost += 1;
+        self.tell(format!("{machine} loses its disk, whatever else is away"));
+        self.world.restart_wiped(machine, down);
+        if self.world.random.random_range(0..3) == 0 {
+            self.tell("all others lose power".into());
+            present.iter().filter(|other| **other != machine).for_each(|other| self.kill(*other, down));
+        }
+        self.until(self.world.now + down);
+    }
+
     /// Another machine at a new address takes the place of one, which is told to end or not.
     fn replace(&mut self) {
         let present = self.present();
         let old = present[self.world.random.random_range(0..present.len())];
         let new = self.world.add_machine(false);
         let span = ms(self.world.random.random_range(0..3_000));
+        self.disks_lost = self.world.tolerated;
         self.tell(format!("{new} replaces {old} after {span:?}"));
         if self.world.random.random() {
             self.world.tell(old, Input::Leave);
@@ -353,7 +399,7 @@
         }
         (self.world.loss, self.world.doubled, self.world.late) = (0, 0, 0);
         let taken = self.world.checker.taken;
-        let end = self.world.now + RECOVERED;
+        let end = self.world.now + if self.overlaps { RECOVERED_FROM_OVERLAP } else { RECOVERED };
         while self.world.now < end && self.world.checker.broken.is_none() {
             self.step(false);
         }
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -78,6 +78,10 @@
     /// A deliberate fault of all replicas that start from now on.
     pub fault: Option<Fault>,
     pub sync: Duration,
+    /// Messages between these two machines that tell of this are lost.
+    pub drops: Option<(usize, usize, &'static str)>,
+    /// How many changes that were taken machines remember.
+    pub remembered: usize,
     /// Whether views are printed.
     pub talks: bool,
     /// Whether every promise and acceptance that is sent is looked for on its sender's disk.
@@ -108,6 +112,8 @@
             checker: Checker::default(),
             fault: None,
             sync: ms(2),
+            drops: None,
+            remembered: replication::REMEMBERED,
             talks: false,
             checks_votes: false,
         };
@@ -301,6 +307,7 @@
             seeds: self.seeds.clone(),
             bootstrap: started.bootstrap,
             tolerated: self.tolerated,
+            remembered: self.remembered,
         };
         let records = started.disk.read();
         started.life += 1;
@@ -412,8 +419,15 @@
         }
     }
 
+    fn is_dropped(&self, from: SocketAddrV4, to: SocketAddrV4, message: &Message) -> bool {
+        self.drops.is_some_and(|(one, other, what)| {
+            let between = (self.machines[one].address, self.machines[other].address);
+            between == (from, to) && format!("{message:?}").contains(what)
+        })
+    }
+
     fn deliver(&mut self, from: SocketAddrV4, to: SocketAddrV4, message: Message) {
-        if self.cuts.contains(&(from, to)) {
+        if self.cuts.contains(&(from, to)) || self.is_dropped(from, to, &message) {
             return;
         }
         let machine = self.machines.iter().position(|machine| machine.address == to && !machine.removed);
@@ -438,6 +452,7 @@
         let input = match &job.order {
             Order::Write(change) => Input::Write(call, change.clone()),
             Order::Read => Input::Read(call),
+            Order::Prove => Input::Prove(call),
         };
         self.operators.open.insert(call, job);
         if self.machines[machine].replica.is_some() {
@@ -458,7 +473,10 @@
                 self.checker.answered(self.now, change, answer);
             }
             (Order::Read, Answer::Current(entry)) => self.checker.read(job.tried, self.now, entry.as_ref()),
-            (Order::Read, _) => {
+            (Order::Prove, Answer::Proven { sequence }) => {
+                self.checker.proven(job.tried, self.now, *sequence);
+            }
+            (Order::Read | Order::Prove, _) => {
                 self.checker.broken.get_or_insert("a read is answered as a change".into());
             }
         }
