Hand out only configurations that a majority has confirmed after an agent asked

Need: a coordinator announced and handed out the newest entry that it held, in touch with a majority or not; an agent that had just started beside one that was cut off served under an old version. Change: an agent numbers its questions. The coordinator has a majority confirm what the newest sequence is, in a round that began after the question came (one round serves all who asked before it), says so (Newest) and sends the configuration once that one is known. A grantor asks at the moment of each answer whether it still is the acting head. A failed assertion ends a coordinator's process (the runtime would have gone on without the task). Ruled out: leases on coordinators' clocks (a process that stands still wakes late); withholding announcements too (they are hints, what counts is fetched); a proof with the document in it (one frame for all agents would become one for each).

cargo test -p control: a coordinator whose two peers are gone hands out nothing over four heartbeats, and does once one is back; agent_knowledge: unasked, another's, late answers are not taken. Failed before: the first hands out at once.

--- a/crates/control/src/agent/knowledge.rs
+++ b/crates/control/src/agent/knowledge.rs
@@ -136,6 +136,10 @@
                 }
                 self.fetch_if_due(now)
             }
+            ToAgent::Newest { question, .. } => {
+                self.fetch.proven(id, question);
+                Vec::new()
+            }
             ToAgent::Configuration { sequence, document } => {
                 self.configuration_came(now, id, sequence, document)
             }
@@ -251,9 +255,10 @@
         sequence: u64,
         document: Vec<u8>,
     ) -> Vec<Say> {
-        self.fetch.came(id);
         let mut say = Vec::new();
-        if sequence > self.have() {
+        if !self.fetch.came(now, id, document.len()) {
+            log::warn!("link {}: configuration {sequence} was not asked for lately, passed over", id.0);
+        } else if sequence > self.have() {
             log::info!("configuration {sequence} of {} bytes", document.len());
             self.configuration = Some(Configuration { sequence, document: document.into() });
             say.extend(self.configure_proxy());
@@ -277,8 +282,9 @@
         let have = self.have();
         let able = self.links.iter().filter(|(_, link)| link.available > have);
         let able: Vec<(LinkId, u64)> = able.map(|(id, link)| (*id, link.available)).collect();
-        let Some((id, sequence)) = self.fetch.next(now, &able) else { return Vec::new() };
-        vec![self.say(now, id, FromAgent::Fetch { sequence })]
+        let Some(ask) = self.fetch.next(now, &able) else { return Vec::new() };
+        let (sequence, question) = (ask.sequence, ask.question);
+        vec![self.say(now, ask.id, FromAgent::Fetch { sequence, question })]
     }
 
     /// Another list is in hand, or the one in hand was confirmed.
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -14,7 +14,7 @@
 mod repair;
 pub mod ring;
 
-pub use fetch::ANSWER_WITHIN;
+pub use fetch::{ANSWER_WITHIN, FRESH_WITHIN};
 pub use knowledge::{Configuration, Knowledge, LOOK_EVERY, LinkId, Say};
 pub use links::{Introduction, SILENT_FOR};
 pub use main_loop::Agent;
--- a/crates/control/src/coordinator/accept.rs
+++ b/crates/control/src/coordinator/accept.rs
@@ -97,9 +97,13 @@
         };
         node.agents.heard(id);
         match message {
-            FromAgent::Fetch { sequence } => node.agents.fetch(id, sequence),
+            FromAgent::Fetch { sequence, question } => node.agents.fetch(id, sequence, question),
             FromAgent::InForce { sequence } => node.agents.in_force(id, sequence),
             FromAgent::Demands(question) => {
+                // Asked at the moment of the effect: the process may have stood still since it last looked.
+                if !node.core.is_acting_head() {
+                    continue;
+                }
                 if let Some(answer) = node.quotas.ask(name, &question, node.agents.nodes(), node.clock.now())
                 {
                     node.agents.reply(id, &ToAgent::Allotments(answer));
--- a/crates/control/src/coordinator/agents/mod.rs
+++ b/crates/control/src/coordinator/agents/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
 use told_list::ToldList;
 
 /// A link on which nothing was said for this long gets a heartbeat.
@@ -59,6 +60,8 @@
 pub struct Agents {
     clock: Clock,
     inner: Mutex<Inner>,
+    /// Told when a proof of the newest configuration is wanted.
+    proof_wanted: Notify,
 }
 
 #[derive(Default)]
@@ -74,13 +77,27 @@
     configuration: Option<(u64, Bytes)>,
     backends: Option<ToldList>,
     digest_told: Duration,
+    /// The ticket that the next proof is begun with.
+    ticket: u64,
+}
+
+/// A configuration that an agent has asked for.
+#[derive(Clone, Copy)]
+struct Wanted {
+    sequence: u64,
+    /// The agent's number of the question.
+    question: u64,
+    /// The proof has to be begun with this ticket or a later one.
+    ticket: u64,
+    /// What was proven to be the newest after the agent had asked.
+    proven: Option<u64>,
 }
 
 struct AgentLink {
     introduction: Introduction,
     outgoing: Outgoing,
     in_force: u64,
-    wants: Option<u64>,
+    wants: Option<Wanted>,
     sent: Duration,
     heard: Duration,
 }
@@ -88,7 +105,7 @@
 impl Agents {
     /// None are connected.
     pub fn new(clock: Clock) -> Self {
-        Agents { clock, inner: Mutex::default() }
+        Agents { clock, inner: Mutex::default(), proof_wanted: Notify::new() }
     }
 
     /// An agent has connected: it is told all that is in force.
@@ -137,12 +154,40 @@
         }
     }
 
-    /// An agent wants a configuration with this sequence or a newer one. It gets it now, or once it is committed.
-    pub fn fetch(&self, id: LinkId, sequence: u64) {
-        let now = self.clock.now();
+    /// An agent wants a configuration with this sequence or a newer one. It gets it once a majority has confirmed, after this,
+    /// which one is the newest, and that one is known here.
+    pub fn fetch(&self, id: LinkId, sequence: u64, question: u64) {
         let mut inner = self.inner();
+        let ticket = inner.ticket;
         if let Some(link) = inner.links.get_mut(&id) {
-            link.wants = Some(sequence);
+            link.wants = Some(Wanted { sequence, question, ticket, proven: None });
+        }
+        self.proof_wanted.notify_one();
+    }
+
+    /// Waits until a proof of the newest configuration is wanted.
+    pub async fn proof_wanted(&self) {
+        self.proof_wanted.notified().await;
+    }
+
+    /// A proof begins, for all that have asked by now: gives its ticket. `None` if nobody waits for one.
+    pub fn begin_proof(&self) -> Option<u64> {
+        let mut inner = self.inner();
+        let waits = |link: &AgentLink| link.wants.is_some_and(|wanted| wanted.proven.is_none());
+        if !inner.links.values().any(waits) {
+            return None;
+        }
+        inner.ticket += 1;
+        Some(inner.ticket - 1)
+    }
+
+    /// The proof that was begun with a ticket has come: this was the newest at some moment since.
+    pub fn proven(&self, ticket: u64, sequence: u64) {
+        let now = self.clock.now();
+        let mut inner = self.inner();
+        let wanted = inner.links.values_mut().filter_map(|link| link.wants.as_mut());
+        for wanted in wanted.filter(|wanted| wanted.ticket <= ticket && wanted.proven.is_none()) {
+            wanted.proven = Some(sequence);
         }
         inner.answer_fetches(now);
     }
@@ -352,12 +397,13 @@
 
     fn answer_fetches(&mut self, now: Duration) {
         let Some(entry) = self.entry.clone() else { return };
-        let is_due = |link: &&mut AgentLink| link.wants.is_some_and(|wants| wants <= entry.sequence);
-        for link in self.links.values_mut().filter(is_due) {
+        for link in self.links.values_mut() {
+            let Some(wanted) = link.wants.filter(|wanted| wanted.is_met_by(entry.sequence)) else { continue };
             let known = self.configuration.take().filter(|(sequence, _)| *sequence == entry.sequence);
             let (sequence, frame) = known.unwrap_or_else(|| (entry.sequence, configuration_frame(&entry)));
             link.wants = None;
             link.sent = now;
+            link.send(&ToAgent::Newest { question: wanted.question, sequence });
             link.send_frame(frame.clone());
             self.configuration = Some((sequence, frame));
         }
@@ -375,6 +421,13 @@
     }
 }
 
+impl Wanted {
+    /// Whether the configuration of a sequence may be handed out: nothing newer was there when it was asked for.
+    fn is_met_by(&self, sequence: u64) -> bool {
+        self.proven.is_some_and(|proven| sequence >= proven.max(self.sequence))
+    }
+}
+
 impl AgentLink {
     fn send(&self, message: &ToAgent) {
         self.send_frame(frame(message));
--- a/crates/control/src/coordinator/api.rs
+++ b/crates/control/src/coordinator/api.rs
@@ -100,7 +100,11 @@
             current: Some(current),
         }
         .response(StatusCode::BAD_REQUEST),
-        Answer::Current(_) | Answer::Unclear => unclear(),
+        Answer::TooOld { current } => problem(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("it is too old to tell whether it was taken; {current} is current"),
+        ),
+        Answer::Current(_) | Answer::Proven { .. } | Answer::Unclear => unclear(),
     }
 }
 
@@ -154,7 +158,12 @@
         Answer::Conflict { current } | Answer::NotHigher { current } => {
             log::info!("configuration {generation} on {base}: refused, {current} is current");
         }
-        Answer::Current(_) | Answer::Unclear => log::info!("configuration {generation} on {base}: unclear"),
+        Answer::TooOld { current } => {
+            log::info!("configuration {generation} on {base}: too old to tell, {current} is current");
+        }
+        Answer::Current(_) | Answer::Proven { .. } | Answer::Unclear => {
+            log::info!("configuration {generation} on {base}: unclear")
+        }
     }
 }
 
--- a/crates/control/src/coordinator/core.rs
+++ b/crates/control/src/coordinator/core.rs
@@ -112,6 +112,16 @@
         self.call(Input::Read)
     }
 
+    /// Asks for the sequence of the newest entry.
+    pub fn prove(&self) -> Call<'_> {
+        self.call(Input::Prove)
+    }
+
+    /// Whether this member is the head of the chain and has heard from a majority lately, at this moment.
+    pub fn is_acting_head(&self) -> bool {
+        self.driver().replica.is_acting_head_at(self.clock.now())
+    }
+
     fn call(&self, input: impl FnOnce(CallId) -> Input) -> Call<'_> {
         let (sender, answer) = oneshot::channel();
         let mut driver = self.driver();
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -35,9 +35,21 @@
 
 /// Runs until told to end.
 pub fn run(settings: Settings) -> ExitCode {
+    end_on_failed_assertion();
     process::run("coordinator", serve(settings))
 }
 
+/// Ends the process where an assertion fails: with two histories, or a state that does not fit together, it must neither answer
+/// nor write any more. The runtime would go on without the task that has failed.
+fn end_on_failed_assertion() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |failure| {
+        report(failure);
+        log::error!("{failure}");
+        std::process::abort();
+    }));
+}
+
 async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
--- a/crates/control/src/coordinator/node.rs
+++ b/crates/control/src/coordinator/node.rs
@@ -14,7 +14,7 @@
 use crate::link::{self, LinkError};
 use boot::Settings;
 use quick_error::quick_error;
-use replication::{Entry, Input, Record, Replica, TICK, View};
+use replication::{Answer, Entry, Input, Record, Replica, TICK, View};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +28,9 @@
 /// How long the others may take to decide on a view without this coordinator. Less than a process has to end by far.
 const HAND_OVER_WITHIN: Duration = Duration::from_millis(1500);
 
+/// How long after a question without an answer the majority is asked again.
+const PROVE_AGAIN: Duration = Duration::from_millis(100);
+
 quick_error! {
     /// Why a coordinator does not start.
     #[derive(Debug)]
@@ -161,6 +164,7 @@
         seeds: seeds(settings),
         bootstrap: settings.bootstrap,
         tolerated: settings.fault_tolerance.machines as usize,
+        remembered: replication::REMEMBERED,
     }
 }
 
@@ -180,6 +184,7 @@
     tasks.spawn(tick(node.clone()));
     tasks.spawn(look_around(node.clone()));
     tasks.spawn(follow(node.clone()));
+    tasks.spawn(prove(node.clone()));
     tasks.spawn(accept::run(node.clone(), listener));
     tasks.spawn(node.audits.clone().run());
     if let Some(platform) = platform {
@@ -224,6 +229,23 @@
     }
 }
 
+/// Has a majority confirm what the newest configuration is, whenever agents have asked for it. One question at a time serves
+/// all that have asked before it.
+async fn prove(node: Arc<Node>) {
+    loop {
+        node.agents.proof_wanted().await;
+        while let Some(ticket) = node.agents.begin_proof() {
+            match node.core.prove().answer().await {
+                Answer::Proven { sequence } => node.agents.proven(ticket, sequence),
+                answer => {
+                    log::debug!("the newest configuration is not known for sure: {answer:?}");
+                    tokio::time::sleep(PROVE_AGAIN).await;
+                }
+            }
+        }
+    }
+}
+
 /// Passes on what the replica tells.
 async fn follow(node: Arc<Node>) {
     let (mut committed, mut view, mut standing) =
--- a/crates/control/tests/agent.rs
+++ b/crates/control/tests/agent.rs
@@ -65,11 +65,12 @@
     let (mut silent, mut able) = (Coordinator::accept(&one).await, Coordinator::accept(&other).await);
     let mut proxy = Proxy::connect(agent.address, 0).await;
     silent.say(ToAgent::Available { sequence: 2 });
-    assert_eq!(silent.hear_word().await, FromAgent::Fetch { sequence: 2 });
+    assert_eq!(silent.hear_word().await, FromAgent::Fetch { sequence: 2, question: 1 });
     able.say(ToAgent::Available { sequence: 2 });
     able.answer_fetch(2).await;
     assert_eq!(proxy.hear_configuration().await, 2);
     // What comes late is not sent again.
+    silent.say(ToAgent::Newest { question: 1, sequence: 2 });
     silent.say(configuration(2));
     able.say(ToAgent::Available { sequence: 3 });
     able.answer_fetch(3).await;
--- a/crates/control/tests/agent_knowledge.rs
+++ b/crates/control/tests/agent_knowledge.rs
@@ -1,6 +1,6 @@
 //! What an agent says to whom, without connections and on a clock of its own.
 
-use control::agent::{ANSWER_WITHIN, Knowledge, LOOK_EVERY, LinkId, Say, choice};
+use control::agent::{ANSWER_WITHIN, FRESH_WITHIN, Knowledge, LOOK_EVERY, LinkId, Say, choice};
 use protocol::{
     Backend, BackendChanges, BackendList, BackendState, CoreMember, FromAgent, FromProxy, IndexChange,
     QuotaAnswer, QuotaQuestion, ToAgent, ToProxy,
@@ -40,8 +40,15 @@
     QuotaAnswer { question: 1, epoch: 1, number: 1, nodes: 1, allotments: Vec::new() }
 }
 
-fn fetch(id: LinkId, sequence: u64) -> Vec<Say> {
-    vec![Say::Coordinator(id, FromAgent::Fetch { sequence })]
+/// The agent's question of this number for a configuration.
+fn fetch(question: u64, id: LinkId, sequence: u64) -> Vec<Say> {
+    vec![Say::Coordinator(id, FromAgent::Fetch { sequence, question })]
+}
+
+/// A coordinator answers a question with a configuration.
+fn answered(agent: &mut Knowledge, now: Duration, id: LinkId, question: u64, sequence: u64) -> Vec<Say> {
+    assert_eq!(agent.coordinator_said(now, id, ToAgent::Newest { question, sequence }), vec![]);
+    agent.coordinator_said(now, id, configuration(sequence))
 }
 
 fn list(version: u64, names: &[(&str, BackendState)]) -> BackendList {
@@ -61,13 +68,13 @@
 #[test]
 fn one_fetch_at_a_time_and_from_another_after_a_while() {
     let mut knowledge = knowledge();
-    assert_eq!(knowledge.coordinator_said(at(10), A, available(4)), fetch(A, 4));
+    assert_eq!(knowledge.coordinator_said(at(10), A, available(4)), fetch(1, A, 4));
     assert_eq!(knowledge.coordinator_said(at(20), B, available(4)), vec![]);
     let due = knowledge.due().expect("a time to ask anew");
     assert_eq!(due, at(10) + ANSWER_WITHIN);
-    assert_eq!(knowledge.look(due), fetch(B, 4));
-    assert_eq!(knowledge.look(due + ANSWER_WITHIN), fetch(A, 4));
-    assert_eq!(knowledge.coordinator_said(due, A, configuration(4)), vec![]);
+    assert_eq!(knowledge.look(due), fetch(2, B, 4));
+    assert_eq!(knowledge.look(due + ANSWER_WITHIN), fetch(3, A, 4));
+    assert_eq!(answered(&mut knowledge, due + ANSWER_WITHIN, A, 3, 4), vec![]);
     assert_eq!((knowledge.have(), knowledge.due()), (4, None));
 }
 
@@ -76,7 +83,28 @@
     let mut knowledge = knowledge();
     knowledge.coordinator_said(at(10), A, available(4));
     knowledge.coordinator_said(at(20), B, available(4));
-    assert_eq!(knowledge.link_down(at(30), A), fetch(B, 4));
+    assert_eq!(knowledge.link_down(at(30), A), fetch(2, B, 4));
+}
+
+/// What a coordinator hands out after it was cut off or stood still: unasked, of another's question, or of a question of long
+/// ago. The agent takes none of it and asks again.
+#[test]
+fn a_configuration_that_may_be_old_is_not_taken() {
+    let mut knowledge = knowledge();
+    assert_eq!(knowledge.coordinator_said(at(10), A, available(4)), fetch(1, A, 4));
+    assert_eq!(knowledge.coordinator_said(at(11), A, configuration(4)), vec![], "without a proof");
+    let of_another = ToAgent::Newest { question: 1, sequence: 4 };
+    knowledge.coordinator_said(at(12), B, of_another);
+    assert_eq!(knowledge.coordinator_said(at(13), B, configuration(4)), vec![], "the question was A's");
+    assert_eq!(knowledge.have(), 0);
+    let stood_still = at(10) + FRESH_WITHIN + at(10);
+    assert_eq!(answered(&mut knowledge, stood_still, A, 1, 4), fetch(2, A, 4), "asked for again");
+    assert_eq!(knowledge.have(), 0);
+    answered(&mut knowledge, stood_still + at(5), A, 2, 4);
+    assert_eq!(knowledge.have(), 4);
+    // One proof is for one configuration.
+    assert_eq!(knowledge.coordinator_said(stood_still + at(6), A, configuration(5)), vec![]);
+    assert_eq!(knowledge.have(), 4);
 }
 
 #[test]
@@ -84,8 +112,8 @@
     let mut knowledge = knowledge();
     knowledge.coordinator_said(at(10), A, available(4));
     knowledge.coordinator_said(at(20), A, available(6));
-    assert_eq!(knowledge.coordinator_said(at(30), A, configuration(4)), fetch(A, 6));
-    assert_eq!(knowledge.coordinator_said(at(40), A, configuration(6)), vec![]);
+    assert_eq!(answered(&mut knowledge, at(30), A, 1, 4), fetch(2, A, 6));
+    assert_eq!(answered(&mut knowledge, at(40), A, 2, 6), vec![]);
     assert_eq!(knowledge.coordinator_said(at(50), B, available(5)), vec![]);
 }
 
@@ -218,7 +246,8 @@
             let (link, sequence) = (if kind % 2 == 0 { A } else { B }, u64::from(value % 16));
             let say = match kind % 7 {
                 0 | 1 => knowledge.coordinator_said(at(now), link, available(sequence)),
-                2 | 3 => knowledge.coordinator_said(at(now), link, configuration(sequence)),
+                2 => knowledge.coordinator_said(at(now), link, configuration(sequence)),
+                3 => answered(&mut knowledge, at(now), link, u64::from(value >> 4), sequence),
                 4 => knowledge.proxy_up(at(now), newest),
                 5 => knowledge.look(at(now)),
                 _ => { knowledge.proxy_down(at(now)); Vec::new() }
--- a/crates/control/tests/coordinators/callers.rs
+++ b/crates/control/tests/coordinators/callers.rs
@@ -93,6 +93,7 @@
     incoming: Incoming,
     pub outgoing: Outgoing,
     list: BackendList,
+    fetches: u64,
 }
 
 impl Agent {
@@ -100,7 +101,7 @@
         let stream = link::connect(to.internal).await.expect("a connection");
         let (incoming, outgoing) = link::split(stream, SocketAddr::V4(to.internal));
         let list = BackendList { version: 0, backends: Vec::new() };
-        let agent = Agent { incoming, outgoing, list };
+        let agent = Agent { incoming, outgoing, list, fetches: 0 };
         let ip = *to.internal.ip();
         agent.say(&FromAgent::Hello { version: VERSION, node: node.into(), ip, zone: "z".into(), have: 0 });
         agent
@@ -172,7 +173,19 @@
             matches!(message, ToAgent::Available { sequence } if sequence >= least).then_some(())
         })
         .await;
-        self.say(&FromAgent::Fetch { sequence: least });
+        self.fetches += 1;
+        let question = self.fetches;
+        self.say(&FromAgent::Fetch { sequence: least, question });
+        let newest = self
+            .until(|message| match message {
+                ToAgent::Newest { question: answered, sequence } if answered == question => Some(sequence),
+                ToAgent::Configuration { .. } => {
+                    panic!("a configuration that was not proven to be the newest")
+                }
+                _ => None,
+            })
+            .await;
+        assert!(newest >= least);
         self.until(|message| match message {
             ToAgent::Configuration { sequence, document } => {
                 Some((sequence, String::from_utf8(document).expect("text")))
--- a/crates/control/tests/coordinators/main.rs
+++ b/crates/control/tests/coordinators/main.rs
@@ -117,6 +117,39 @@
     agents[0].until(|message| matches!(message, ToAgent::View { nodes: 2, .. }).then_some(())).await;
 }
 
+/// An agent that starts beside a coordinator which is cut off: it hears that there is a configuration, and is not given it, until
+/// a majority is there to say that none is newer.
+#[tokio::test]
+async fn a_coordinator_without_a_majority_hands_out_no_configuration() {
+    const HEARTBEATS: usize = 4;
+    let mut fleet = Fleet::start().await;
+    let mut operator = Operator::new();
+    assert_eq!(operator.replace(&fleet.machines[0], None, &document(1)).await, 200);
+    for machine in &fleet.machines {
+        assert_eq!(operator.describe(machine).await.0, 200);
+    }
+    let mut agent = Agent::connect(&fleet.machines[0], "frontend-1").await;
+    let (sequence, _) = agent.fetch(1).await;
+    fleet.machines.drain(1..).for_each(Machine::kill);
+    let mut late = Agent::connect(&fleet.machines[0], "frontend-2").await;
+    late.until(|message| matches!(message, ToAgent::Available { .. }).then_some(())).await;
+    late.say(&FromAgent::Fetch { sequence, question: 7 });
+    let mut heartbeats = 0;
+    late.until(|message| {
+        let handed_out = matches!(message, ToAgent::Configuration { .. } | ToAgent::Newest { .. });
+        assert!(!handed_out, "{message:?} without a majority");
+        heartbeats += usize::from(message == ToAgent::Heartbeat);
+        (heartbeats == HEARTBEATS).then_some(())
+    })
+    .await;
+    let (status, _) = operator.call("GET", &fleet.machines[0], "/api/Config.Describe").await;
+    assert_eq!(status, 503);
+    fleet.machines.push(Machine::start(&fleet.plan, 1, &fleet.disks[1], false));
+    let newest = ToAgent::Newest { question: 7, sequence };
+    late.until(|message| (message == newest).then_some(())).await;
+    late.until(|message| matches!(message, ToAgent::Configuration { .. }).then_some(())).await;
+}
+
 #[tokio::test]
 async fn a_drain_reaches_the_agents_of_all_coordinators_also_as_the_reader_dies() {
     let mut fleet = Fleet::start().await;
--- a/crates/control/tests/log_file.rs
+++ b/crates/control/tests/log_file.rs
@@ -6,8 +6,14 @@
 
 fn records() -> Vec<Record> {
     let address = "127.0.0.1:1".parse().expect("an address");
-    let settings =
-        Settings { address, zone: "z".into(), seeds: vec![address], bootstrap: true, tolerated: 0 };
+    let settings = Settings {
+        address,
+        zone: "z".into(),
+        seeds: vec![address],
+        bootstrap: true,
+        tolerated: 0,
+        remembered: 100,
+    };
     let (_, orders) = Replica::open(settings, Vec::new(), 1, Duration::ZERO);
     let records = orders.into_iter().flat_map(|order| match order {
         Output::Store(_, record) => vec![record],
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -34,8 +34,14 @@
 /// Some record: that of a new disk's identity.
 fn record() -> Record {
     let address = "127.0.0.1:1".parse().expect("an address");
-    let settings =
-        Settings { address, zone: "z".into(), seeds: vec![address], bootstrap: true, tolerated: 0 };
+    let settings = Settings {
+        address,
+        zone: "z".into(),
+        seeds: vec![address],
+        bootstrap: true,
+        tolerated: 0,
+        remembered: 100,
+    };
     let (_, orders) = Replica::open(settings, Vec::new(), 1, Duration::ZERO);
     let stored = orders.into_iter().find_map(|order| match order {
         Output::Store(_, record) => Some(record),
--- a/crates/protocol/src/agent.rs
+++ b/crates/protocol/src/agent.rs
@@ -38,6 +38,8 @@
     Fetch {
         /// The sequence.
         sequence: u64,
+        /// The agent's number of this question; none is used twice.
+        question: u64,
     },
     /// The proxy serves under this configuration.
     InForce {
@@ -106,7 +108,14 @@
         /// Its sequence; higher is newer.
         sequence: u64,
     },
-    /// A configuration that was fetched.
+    /// What the next configuration on this connection is: the newest one at some moment after the agent had asked.
+    Newest {
+        /// The agent's question.
+        question: u64,
+        /// The sequence that a majority has confirmed to be the newest after the question came.
+        sequence: u64,
+    },
+    /// A configuration that was fetched, behind [`ToAgent::Newest`].
     Configuration {
         /// Its sequence.
         sequence: u64,
--- a/crates/replication/src/chain.rs
+++ b/crates/replication/src/chain.rs
@@ -297,8 +297,9 @@
     /// What is committed elsewhere, for a member outside the chain. Until all of the chain is synced, what this member holds
     /// from an earlier view may be the last copy of something committed: it is not given up before.
     pub(crate) fn copy(&mut self, view: u64, transfer: Transfer, active: bool) {
-        let is_needed = !(active && view == self.view_number()) && !self.register.is_kept_by(&transfer);
-        if is_needed && !planted!(self, CopiesTooSoon) {
+        let is_spare = active && view == self.view_number();
+        let may_take = is_spare || self.register.is_kept_by(&transfer) || planted!(self, CopiesTooSoon);
+        if !may_take {
             return;
         }
         if self.chain_position().is_some() || self.disk.refuses() {
