--- a/crates/replication/src/agreement.rs
+++ b/crates/replication/src/agreement.rs
@@ -30,6 +30,7 @@
 }
 
 /// An attempt of this member to have a view decided.
+#[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) slot: u64,
     pub(crate) ballot: Ballot,
@@ -48,6 +49,7 @@
     pub(crate) synced: bool,
 }
 
+#[derive(Clone, Debug)]
 pub(crate) enum Phase {
     /// Promises by voter.
     Preparing(BTreeMap<MemberId, Promised>),
--- a/crates/replication/src/calls.rs
+++ b/crates/replication/src/calls.rs
@@ -17,6 +17,7 @@
 const LARGE_BYTES: usize = 256 << 10;
 
 /// A call that is not answered yet.
+#[derive(Clone, Debug)]
 pub(crate) struct Call {
     pub(crate) request: Request,
     started: Duration,
@@ -32,7 +33,7 @@
 }
 
 /// The calls that are not answered yet.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Calls {
     open: BTreeMap<CallId, Call>,
 }
--- a/crates/replication/src/chain.rs
+++ b/crates/replication/src/chain.rs
@@ -16,7 +16,7 @@
 const PER_MEGABYTE: Duration = Duration::from_millis(300);
 
 /// The state of a member of the chain in this view.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ChainState {
     /// The newest entry that is on disk.
     pub(crate) kept_newest: EntryKey,
--- a/crates/replication/src/confirm.rs
+++ b/crates/replication/src/confirm.rs
@@ -30,6 +30,7 @@
     pub(crate) reply: Reply,
 }
 
+#[derive(Clone, Debug)]
 struct Round {
     number: u64,
     asked: Duration,
@@ -38,6 +39,7 @@
 }
 
 /// The rounds of confirmation of one member.
+#[derive(Clone, Debug)]
 pub(crate) struct Rounds {
     last: u64,
     current: Option<Round>,
--- a/crates/replication/src/disk.rs
+++ b/crates/replication/src/disk.rs
@@ -31,6 +31,7 @@
     },
 }
 
+#[derive(Clone, Debug)]
 struct Outstanding {
     id: WriteId,
     since: Duration,
@@ -38,6 +39,7 @@
 }
 
 /// The writes of a member.
+#[derive(Clone, Debug)]
 pub(crate) struct Disk {
     next: u64,
     outstanding: VecDeque<Outstanding>,
--- a/crates/replication/src/head.rs
+++ b/crates/replication/src/head.rs
@@ -14,6 +14,7 @@
 const EARLY_KEPT: Duration = Duration::from_millis(2_500);
 
 /// A change that waits, and who asked for it.
+#[derive(Clone, Debug)]
 pub(crate) struct Waiting {
     pub(crate) change: Change,
     pub(crate) callers: Vec<Caller>,
@@ -34,7 +35,7 @@
 }
 
 /// The changes at the head.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct HeadQueue {
     waiting: VecDeque<Waiting>,
     /// Changes whose base is not there yet.
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -36,6 +36,7 @@
 }
 
 /// The other members.
+#[derive(Clone, Debug)]
 pub(crate) struct Peers {
     known: BTreeMap<MemberId, Peer>,
     grace_until: Duration,
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -24,6 +24,7 @@
 const IN_TOUCH: Duration = Duration::from_millis(1_000);
 
 /// A member of the core.
+#[derive(Clone, Debug)]
 pub struct Replica {
     pub(crate) settings: Settings,
     pub(crate) id: MemberId,
