Decide in one place whether a request may be sent once more

Need: what a send proves was decided in three places (send.rs, attempts.rs, respond.rs by what they returned), and no test held the whole table. Change: data_plane/resend.rs, no I/O, no clock: proof (nothing written; 421 or X-Not-Executed on an answer of the request that is no success; else it may have run) and the sends of a request so far (may another one be made under the route's terms). Behaviour is as before. Ruled out: the table of the node in service (exchange::attempt): its classes, groups and windows are not there in the system.

The data plane's tests pass as they were.

--- a/crates/marlwinch/src/data_plane/attempts.rs
+++ b/crates/marlwinch/src/data_plane/attempts.rs
@@ -4,7 +4,8 @@
 use crate::data_plane::node::Node;
 use crate::data_plane::own::Own;
 use crate::data_plane::request::Asked;
-use crate::data_plane::send::{Answered, NotRun, Outgoing, Sent, send};
+use crate::data_plane::resend::{Proof, Sends, Terms};
+use crate::data_plane::send::{Answered, Outgoing, Sent, send};
 use crate::data_plane::service::Underway;
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -20,8 +21,6 @@
 pub const ANSWER_EARLIER: Duration = Duration::from_millis(15);
 /// A request with less time than this is not sent any more: a backend could do nothing with it.
 const LEAST_LEFT: Duration = Duration::from_millis(50);
-/// Backends without a connection that one request tries.
-const MOST_UNCONNECTED: u32 = 3;
 /// When to come back after the backends have refused, as a part of the aim, and its bounds.
 const COME_BACK: u32 = 3;
 const SOONEST: Duration = Duration::from_millis(40);
@@ -48,17 +47,13 @@
     /// The request.
     pub asked: Rc<Asked>,
     tried: Vec<BackendId>,
-    /// Sends that have reached a backend.
-    arrivals: u32,
-    unconnected: u32,
-    /// Whether it may have run somewhere.
-    ran: bool,
+    sends: Sends,
 }
 
 impl Attempts {
     /// Of a request that was not sent yet.
     pub fn new(node: Rc<Node>, asked: Rc<Asked>) -> Self {
-        Attempts { node, asked, tried: Vec::new(), arrivals: 0, unconnected: 0, ran: false }
+        Attempts { node, asked, tried: Vec::new(), sends: Sends::default() }
     }
 
     /// Sends the request until there is an answer to be passed on. `after` is the id of the last event that the client has
@@ -66,50 +61,35 @@
     pub async fn next(&mut self, after: Option<&str>) -> Result<Opened, Own> {
         loop {
             let (underway, backend, urgency) = self.pick()?;
-            match self.send(&backend, urgency, after).await {
-                Sent::Nothing => {
-                    self.unconnected += 1;
-                    underway.end(Outcome::NotConnected, None);
-                }
-                Sent::Broke => {
-                    self.has_run();
-                    underway.end(Outcome::Broken, None);
-                }
-                Sent::Silent => {
-                    self.has_run();
-                    underway.end(Outcome::Broken, None);
-                }
-                Sent::Answered(answered) => {
-                    let answered = *answered;
-                    self.arrivals += 1;
-                    if let Some(load) = answered.load {
-                        underway.told(load);
-                    }
-                    if let Some(not_run) = answered.not_run {
-                        let outcome = match not_run {
-                            NotRun::Rejected => Outcome::Rejected,
-                            NotRun::Misdirected => Outcome::Misdirected,
-                        };
-                        underway.end(outcome, answered.load);
-                        pass_over(answered, backend);
-                        continue;
-                    }
-                    self.ran = true;
-                    if is_failure(answered.status) && self.asked.may_run_again() && self.may_send_again() {
-                        underway.end(Outcome::Failed, answered.load);
-                        pass_over(answered, backend);
-                        continue;
-                    }
-                    return Ok(Opened { answered, underway, backend });
+            let answered = match self.send(&backend, urgency, after).await {
+                Sent::Failed(proof) => {
+                    self.sends.note(proof);
+                    underway.end(outcome(proof), None);
+                    continue;
                 }
+                Sent::Answered(answered) => *answered,
+            };
+            self.sends.note(answered.proof);
+            if let Some(load) = answered.load {
+                underway.told(load);
             }
+            if answered.proof != Proof::MayHaveRun {
+                underway.end(outcome(answered.proof), answered.load);
+                pass_over(answered, backend);
+                continue;
+            }
+            if is_failure(answered.status) && self.asked.may_run_again() && self.may_send_again() {
+                underway.end(Outcome::Failed, answered.load);
+                pass_over(answered, backend);
+                continue;
+            }
+            return Ok(Opened { answered, underway, backend });
         }
     }
 
-    /// The run that was passed on has broken off: it may have run, which the next send has to allow for.
-    fn has_run(&mut self) {
-        self.arrivals += 1;
-        self.ran = true;
+    fn terms(&self) -> Terms {
+        let repeatable = self.asked.may_run_again();
+        Terms { repeatable, max_attempts: self.asked.route.max_attempts }
     }
 
     /// When the node answers by itself at the latest.
@@ -142,15 +122,13 @@
     fn may_send_again(&self) -> bool {
         let asked = &self.asked;
         let time = asked.due.saturating_duration_since(Instant::now()) > LEAST_LEFT;
-        self.arrivals < asked.route.max_attempts && time && asked.service.has_budget()
+        self.sends.leave_room(self.terms()) && time && asked.service.has_budget()
     }
 
     fn pick(&mut self) -> Result<(Underway, Rc<Backend>, u8), Own> {
         let asked = self.asked.clone();
-        if self.ran && !asked.may_run_again() || self.unconnected >= MOST_UNCONNECTED {
-            return Err(self.given_up(None));
-        }
-        if self.arrivals > 0 && !self.may_send_again() {
+        let is_repeat = self.sends.have_arrived();
+        if !self.sends.allow_another(self.terms()) || (is_repeat && !self.may_send_again()) {
             return Err(self.given_up(None));
         }
         let left = asked.due.saturating_duration_since(Instant::now());
@@ -169,7 +147,7 @@
                 underway.end(Outcome::NotConnected, None);
                 continue;
             };
-            if self.arrivals > 0 && !asked.service.take_budget() {
+            if is_repeat && !asked.service.take_budget() {
                 return Err(self.given_up(None));
             }
             return Ok((underway, backend, urgency));
@@ -189,7 +167,7 @@
         // Until a list has come, the choice knows of no backend, which says nothing of load.
         let retry_after = if self.node.has_list() { retry_after } else { Some(self.node.ready_in()) };
         let late = Instant::now() + LEAST_LEFT >= self.asked.due;
-        match (self.ran, late) {
+        match (self.sends.may_have_run(), late) {
             (true, true) => Own::TimedOut,
             (true, false) => Own::Failed,
             (false, _) => Own::Refused(retry_after.unwrap_or_else(|| self.come_back())),
@@ -210,6 +188,16 @@
     headers
 }
 
+/// What a send that proved this says of its backend.
+fn outcome(proof: Proof) -> Outcome {
+    match proof {
+        Proof::NotWritten => Outcome::NotConnected,
+        Proof::Rejected => Outcome::Rejected,
+        Proof::Misdirected => Outcome::Misdirected,
+        Proof::MayHaveRun => Outcome::Broken,
+    }
+}
+
 /// Whether another backend might do better.
 fn is_failure(status: StatusCode) -> bool {
     let refuses = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS].contains(&status);
--- a/crates/marlwinch/src/data_plane/mod.rs
+++ b/crates/marlwinch/src/data_plane/mod.rs
@@ -14,6 +14,7 @@
 mod probes;
 mod readiness;
 mod request;
+pub mod resend;
 mod respond;
 mod send;
 mod service;
--- a/crates/marlwinch/src/data_plane/send.rs
+++ b/crates/marlwinch/src/data_plane/send.rs
@@ -4,6 +4,7 @@
 use crate::boxes::reading::framed;
 use crate::data_plane::backend::{Backend, Connection, Found};
 use crate::data_plane::node::Node;
+use crate::data_plane::resend::{Belongs, Ended, Proof, proof};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -50,15 +51,6 @@
     pub until: Instant,
 }
 
-/// What a backend proves with a refusal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NotRun {
-    /// It says so.
-    Rejected,
-    /// It is another instance.
-    Misdirected,
-}
-
 /// An answer whose head has come.
 pub struct Answered {
     /// Its status.
@@ -71,20 +63,16 @@
     pub connection: Connection,
     /// The load that it tells.
     pub load: Option<Load>,
-    /// Whether it proves that the request did not run.
-    pub not_run: Option<NotRun>,
+    /// What it proves of the request.
+    pub proof: Proof,
 }
 
 /// How a send ended.
 pub enum Sent {
     /// With an answer.
     Answered(Box<Answered>),
-    /// Nothing of it went out.
-    Nothing,
-    /// It may have run: its connection broke, or what came is no answer to it.
-    Broke,
-    /// It may have run: nothing came in time.
-    Silent,
+    /// Without one that could be passed on; this is proven.
+    Failed(Proof),
 }
 
 /// Sends a request.
@@ -102,21 +90,21 @@
             }
             _ => match open(backend, most, node).await {
                 Some(connection) => (connection, false),
-                None => return Sent::Nothing,
+                None => return Sent::Failed(Proof::NotWritten),
             },
         };
         if !permit.holds() {
             backend.keep_unused(connection);
-            return Sent::Nothing;
+            return Sent::Failed(Proof::NotWritten);
         }
         match on_connection(connection, &permit, backend, out).await {
             Some(sent) => return sent,
             // The backend has closed it while it rested, which says nothing of the backend.
             None if reused => stale += 1,
-            None => return Sent::Nothing,
+            None => return Sent::Failed(Proof::NotWritten),
         }
     }
-    Sent::Nothing
+    Sent::Failed(Proof::NotWritten)
 }
 
 async fn open(backend: &Backend, most: usize, node: &Node) -> Option<Connection> {
@@ -147,7 +135,7 @@
         biased;
         answer = connection.sender.send_request(request(backend, out)) => answer,
         () = sleep_until(out.until) => {
-            return Some(if progress.is_untouched() { Sent::Nothing } else { Sent::Silent });
+            return Some(Sent::Failed(proof(progress.is_untouched(), Ended::TimeUp)));
         }
     };
     match answer {
@@ -155,7 +143,7 @@
         Err(_) if progress.is_untouched() => None,
         Err(error) => {
             log::debug!("backend {}: the connection broke: {error}", backend.id.0);
-            Some(Sent::Broke)
+            Some(Sent::Failed(proof(false, Ended::Broken)))
         }
     }
 }
@@ -175,32 +163,33 @@
 fn read(answer: Response<Incoming>, connection: Connection, backend: &Backend, out: &Outgoing<'_>) -> Sent {
     let (mut head, body) = answer.into_parts();
     let load = head.headers.remove(LOAD).and_then(|value| load(value.to_str().ok()?));
-    let not_run = not_run(head.status, &head.headers);
-    let expected = out.headers.get(REQUEST_ID);
-    let same = match head.headers.get(REQUEST_ID) {
-        Some(id) => expected.is_none_or(|expected| expected == id),
-        // A refusal of what could not be read may have no id.
-        None => expected.is_none() || not_run.is_some(),
-    };
-    if !same {
+    let belongs = belongs(&head.headers, out);
+    let not_executed = head.headers.contains_key(NOT_EXECUTED);
+    let proof = proof(false, Ended::Answered { status: head.status, not_executed, belongs });
+    let has_run = proof == Proof::MayHaveRun;
+    // A refusal of what could not be read may have no id.
+    if belongs == Belongs::ToAnother || (belongs == Belongs::Unsaid && has_run) {
         log::warn!("backend {}: an answer that belongs to another request", backend.id.0);
-        return Sent::Broke;
+        return Sent::Failed(Proof::MayHaveRun);
     }
     let bodiless = *out.method == Method::HEAD
         || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if let Some(problem) = framed(&head.headers).err().filter(|_| !bodiless && not_run.is_none()) {
+    if let Some(problem) = framed(&head.headers).err().filter(|_| !bodiless && has_run) {
         log::warn!("backend {}: an answer that can't be read: {problem}", backend.id.0);
-        return Sent::Broke;
+        return Sent::Failed(Proof::MayHaveRun);
     }
     let (status, headers) = (head.status, head.headers);
-    Sent::Answered(Box::new(Answered { status, headers, body, connection, load, not_run }))
+    Sent::Answered(Box::new(Answered { status, headers, body, connection, load, proof }))
 }
 
-fn not_run(status: StatusCode, headers: &HeaderMap) -> Option<NotRun> {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Some(NotRun::Misdirected);
+/// Whose answer it is. One to a request without an id belongs to it, whatever it says.
+fn belongs(headers: &HeaderMap, out: &Outgoing<'_>) -> Belongs {
+    match (headers.get(REQUEST_ID), out.headers.get(REQUEST_ID)) {
+        (_, None) => Belongs::ToRequest,
+        (None, Some(_)) => Belongs::Unsaid,
+        (Some(told), Some(expected)) if told == expected => Belongs::ToRequest,
+        (Some(_), Some(_)) => Belongs::ToAnother,
     }
-    (headers.contains_key(NOT_EXECUTED) && !status.is_success()).then_some(NotRun::Rejected)
 }
 
 /// Reads `running,waiting,slots`.
