--- a/crates/control/tests/coordinators/main.rs
+++ b/crates/control/tests/coordinators/main.rs
@@ -131,6 +131,8 @@
     let mut agent = Agent::connect(&fleet.machines[0], "frontend-1").await;
     let (sequence, _) = agent.fetch(1).await;
     fleet.machines.drain(1..).for_each(Machine::kill);
+    let (status, _) = operator.call("GET", &fleet.machines[0], "/api/Config.Describe").await;
+    assert_eq!(status, 503);
     let mut late = Agent::connect(&fleet.machines[0], "frontend-2").await;
     late.until(|message| matches!(message, ToAgent::Available { .. }).then_some(())).await;
     late.say(&FromAgent::Fetch { sequence, question: 7 });
@@ -142,8 +144,6 @@
         (heartbeats == HEARTBEATS).then_some(())
     })
     .await;
-    let (status, _) = operator.call("GET", &fleet.machines[0], "/api/Config.Describe").await;
-    assert_eq!(status, 503);
     fleet.machines.push(Machine::start(&fleet.plan, 1, &fleet.disks[1], false));
     let newest = ToAgent::Newest { question: 7, sequence };
     late.until(|message| (message == newest).then_some(())).await;
