Have each role tell its figures at a port and path of the deploy file

Need: operators see in an incident what a role knows: view and chain, newest sequences, contact, links made anew, changes by outcome, refusals and sends by cause. A coordinator's gauges are read from its state as somebody asks; what ends is counted with one addition. Ruled out: the status call (JSON, one role); a push to somewhere (nothing to push to).

--- a/crates/control/src/agent/knowledge.rs
+++ b/crates/control/src/agent/knowledge.rs
@@ -61,6 +61,19 @@
     told: Option<(Duration, bool)>,
 }
 
+/// What an agent knows, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Summary {
+    /// The number of the view.
+    pub view: u64,
+    /// The sequence of the configuration that the proxy serves under.
+    pub in_force: u64,
+    /// Coordinators that are connected.
+    pub links: usize,
+    /// The version of the list of backends; 0 for none.
+    pub list_version: u64,
+}
+
 /// What an agent knows.
 #[derive(Debug, Default)]
 pub struct Knowledge {
@@ -89,6 +102,16 @@
         &self.view.1
     }
 
+    /// What it knows, for figures.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            view: self.view.0,
+            in_force: self.in_force,
+            links: self.links.len(),
+            list_version: self.lists.version().unwrap_or(0),
+        }
+    }
+
     /// Whether any coordinator is connected.
     pub fn any_link_up(&self) -> bool {
         !self.links.is_empty()
--- a/crates/control/src/agent/main_loop.rs
+++ b/crates/control/src/agent/main_loop.rs
@@ -4,6 +4,7 @@
 use super::event::{Event, ProxyId};
 use super::knowledge::{Configuration, Knowledge, LOOK_EVERY, LinkId, Say};
 use super::links::{Introduction, Links};
+use super::metrics::AgentFigures;
 use super::proxies;
 use crate::link::Outgoing;
 use protocol::{FromAgent, ToProxy};
@@ -36,6 +37,7 @@
     events: Receiver<Event>,
     accepting: JoinHandle<()>,
     looked: Instant,
+    figures: Arc<AgentFigures>,
 }
 
 impl Agent {
@@ -56,11 +58,17 @@
             events,
             accepting: tokio::spawn(proxies::run(listener, sender)),
             looked: now,
+            figures: Arc::default(),
         };
         agent.choose_links();
         agent
     }
 
+    /// The figures that it keeps up to date.
+    pub fn figures(&self) -> Arc<AgentFigures> {
+        self.figures.clone()
+    }
+
     /// Other seeds stand in the settings.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
@@ -118,6 +126,7 @@
         self.say(say);
         if self.looked + LOOK_EVERY <= Instant::now() {
             self.looked = Instant::now();
+            self.figures.note(&self.knowledge);
             self.choose_links();
         }
     }
@@ -126,6 +135,7 @@
         let now = self.now();
         let say = match event {
             Event::LinkUp(id, address, outgoing) => {
+                self.figures.link_made();
                 self.coordinators.insert(id, (address, outgoing));
                 self.knowledge.link_up(now, id, address)
             }
--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -10,6 +10,7 @@
 mod knowledge;
 mod links;
 mod main_loop;
+pub mod metrics;
 mod proxies;
 mod repair;
 pub mod ring;
@@ -19,6 +20,7 @@
 pub use links::{Introduction, SILENT_FOR};
 pub use main_loop::Agent;
 
+use crate::metrics::MetricsAt;
 use crate::{link, process};
 use boot::{Settings, Watcher};
 use std::net::SocketAddrV4;
@@ -37,16 +39,17 @@
 const WITHOUT_PROXY: Duration = Duration::from_millis(500);
 
 /// Runs until told to end.
-pub fn run(settings: Settings) -> ExitCode {
-    process::run("agent", serve(settings))
+pub fn run(settings: Settings, metrics: Option<MetricsAt>) -> ExitCode {
+    process::run("agent", serve(settings, metrics))
 }
 
-async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(settings: Settings, metrics: Option<MetricsAt>) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     let mut watcher = std::env::var_os(boot::PATH_VARIABLE).map(|path| Watcher::new(path.into()));
     let listener = link::listen(settings.agent_address())?;
     let mut agent = Agent::start(introduction(&settings), seeds(&settings), listener);
+    crate::metrics::start(settings.ip, metrics.as_ref(), agent.figures());
     log::info!("agent of {}: serves its proxy at {}", settings.node_name, settings.agent_address());
     let mut watch = tokio::time::interval(WATCH_EVERY);
     watch.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/control/src/coordinator/agents/mod.rs
+++ b/crates/control/src/coordinator/agents/mod.rs
@@ -338,6 +338,16 @@
         self.inner().nodes.len() as u32
     }
 
+    /// Agents that are connected.
+    pub fn connected(&self) -> usize {
+        self.inner().links.len()
+    }
+
+    /// Connections of agents since the start.
+    pub fn links_made(&self) -> u64 {
+        self.inner().links_so_far
+    }
+
     /// What an operator may want to know.
     pub fn status(&self) -> Vec<AgentStatus> {
         let now = self.clock.now();
--- a/crates/control/src/coordinator/api.rs
+++ b/crates/control/src/coordinator/api.rs
@@ -79,12 +79,16 @@
     };
     let generation = match configuration::check(&document) {
         Ok(configuration) => configuration.generation,
-        Err(faults) => return invalid(&faults),
+        Err(faults) => {
+            node.counts.invalid_change();
+            return invalid(&faults);
+        }
     };
     let digest = digest(base, &document);
     let document = Arc::new(serde_bytes::ByteBuf::from(Vec::from(document)));
     let call = node.core.write(Change { base, generation, digest, document });
     let answer = tokio::time::timeout(patience(&node), call.answer()).await.unwrap_or(Answer::Unclear);
+    node.counts.change(&answer);
     log_answer(base, generation, &answer);
     match answer {
         Answer::Taken { .. } => json(StatusCode::OK, &Taken { generation }),
@@ -111,7 +115,9 @@
 #[handler]
 async fn describe(node: Data<&Arc<Node>>) -> Response {
     let call = node.core.read();
-    match tokio::time::timeout(patience(&node), call.answer()).await {
+    let answer = tokio::time::timeout(patience(&node), call.answer()).await;
+    node.counts.read(matches!(answer, Ok(Answer::Current(_))));
+    match answer {
         Ok(Answer::Current(Some(entry))) => {
             let document = entry.change.document.to_vec();
             Response::builder().content_type("application/json").body(document)
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -11,6 +11,7 @@
 pub mod hello;
 pub mod holdings;
 pub mod log_file;
+pub mod metrics;
 pub mod node;
 pub mod peers;
 mod quotas;
@@ -18,13 +19,16 @@
 pub mod status;
 pub mod storage;
 
+use crate::metrics::MetricsAt;
 use crate::process;
 use boot::Settings;
+use metrics::CoordinatorFigures;
 use node::{Running, StartError};
 use replication::Record;
 use settings_file::SettingsFile;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 use storage::Log;
 use tokio::signal::unix::{SignalKind, signal};
@@ -34,9 +38,9 @@
 const OPEN_AGAIN: Duration = Duration::from_millis(250);
 
 /// Runs until told to end.
-pub fn run(settings: Settings) -> ExitCode {
+pub fn run(settings: Settings, metrics: Option<MetricsAt>) -> ExitCode {
     end_on_failed_assertion();
-    process::run("coordinator", serve(settings))
+    process::run("coordinator", serve(settings, metrics))
 }
 
 /// Ends the process where an assertion fails: with two histories, or a state that does not fit together, it must neither answer
@@ -50,7 +54,7 @@
     }));
 }
 
-async fn serve(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(settings: Settings, metrics: Option<MetricsAt>) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     let data = settings.data_dir.clone().ok_or(StartError::Missing("data_dir"))?;
@@ -61,6 +65,8 @@
     log::info!("coordinator of {} starts with {} records on disk", settings.node_name, records.len());
     configuration::prepare();
     let mut running = Running::start(&settings, log, records, seed())?;
+    let figures = Arc::new(CoordinatorFigures::new(running.node()));
+    crate::metrics::start(settings.ip, metrics.as_ref(), figures);
     let mut file = std::env::var_os(boot::PATH_VARIABLE).map(|path| SettingsFile::new(path.into()));
     let mut looks = tokio::time::interval(settings_file::LOOK_EVERY);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/control/src/coordinator/node.rs
+++ b/crates/control/src/coordinator/node.rs
@@ -7,6 +7,7 @@
 use super::clock::{self, Clock};
 use super::core::Core;
 use super::hello::ToPeer;
+use super::metrics::Counts;
 use super::peers::Peers;
 use super::quotas::Quotas;
 use super::storage::{Log, Storage};
@@ -64,6 +65,8 @@
     pub quotas: Quotas,
     /// The audit of the fleet's index.
     pub audits: Arc<Audits>,
+    /// What is counted for whoever asks.
+    pub counts: Counts,
     /// The clock of all of them.
     pub clock: Clock,
 }
@@ -113,6 +116,7 @@
             backends,
             quotas: Quotas::new(&settings.bounds),
             audits,
+            counts: Counts::default(),
             clock,
         });
         let (stop, stopped) = watch::channel(false);
@@ -243,7 +247,9 @@
     loop {
         node.agents.proof_wanted().await;
         while let Some(ticket) = node.agents.begin_proof() {
-            match node.core.prove().answer().await {
+            let answer = node.core.prove().answer().await;
+            node.counts.proof(matches!(answer, Answer::Proven { .. }));
+            match answer {
                 Answer::Proven { sequence } => node.agents.proven(ticket, sequence),
                 answer => {
                     log::debug!("the newest configuration is not known for sure: {answer:?}");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod agent;
 pub mod coordinator;
 pub mod link;
+pub mod metrics;
 
 mod process;
--- a/crates/control/tests/coordinators/main.rs
+++ b/crates/control/tests/coordinators/main.rs
@@ -6,6 +6,8 @@
 mod platform;
 
 use callers::{Agent, Operator, document};
+use control::coordinator::metrics::CoordinatorFigures;
+use control::metrics::Figures;
 use core_machines::{Disk, Machine, Plan, next_ip};
 use holdings::Engine;
 use platform::Platform;
@@ -72,6 +74,23 @@
     approve("operator", &operator.transcript);
 }
 
+#[tokio::test]
+async fn a_coordinator_tells_its_view_and_what_became_of_changes() {
+    let fleet = Fleet::start().await;
+    let mut operator = Operator::new();
+    assert_eq!(operator.replace(&fleet.machines[0], None, &document(4)).await, 200);
+    assert_eq!(operator.replace(&fleet.machines[0], Some(4), "{}").await, 400);
+    let figures = CoordinatorFigures::new(&fleet.machines[0].node);
+    figures.refresh();
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, figures.registry()).expect("a text");
+    let told = |line: &str| text.lines().any(|other| other == line);
+    assert!(told("marlwinch_coordinator_chain_members 3"), "{text}");
+    assert!(told("marlwinch_coordinator_generation 4"), "{text}");
+    assert!(told("marlwinch_coordinator_changes_total{outcome=\"taken\"} 1"), "{text}");
+    assert!(told("marlwinch_coordinator_changes_total{outcome=\"invalid\"} 1"), "{text}");
+}
+
 #[tokio::test]
 async fn of_two_changes_on_one_version_one_is_taken() {
     let fleet = Fleet::start().await;
--- a/crates/marlwinch/src/command/system.rs
+++ b/crates/marlwinch/src/command/system.rs
@@ -4,7 +4,8 @@
 use super::tools;
 use crate::data_plane;
 use boot::Settings;
-use bpaf::{Bpaf, Parser};
+use bpaf::{Bpaf, Parser, long};
+use control::metrics::MetricsAt;
 use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -18,13 +19,13 @@
 pub enum Command {
     /// Serve clients on a frontend machine
     #[bpaf(command("data-plane"))]
-    DataPlane,
+    DataPlane(#[bpaf(external(metrics_at))] Option<MetricsAt>),
     /// Keep the link to the coordinators for the data plane of the same machine
     #[bpaf(command)]
-    Agent,
+    Agent(#[bpaf(external(metrics_at))] Option<MetricsAt>),
     /// Be a member of the core
     #[bpaf(command)]
-    Coordinator,
+    Coordinator(#[bpaf(external(metrics_at))] Option<MetricsAt>),
     /// Check a settings file: exit code 3 and a line with the place if it is at fault
     #[bpaf(command("check-settings"))]
     CheckSettings {
@@ -72,9 +73,9 @@
     let command = command().to_options().descr("Run a role of the system, or look after it").run();
     let out = &mut std::io::stdout();
     match command {
-        Command::DataPlane => run(data_plane::run),
-        Command::Agent => run(control::agent::run),
-        Command::Coordinator => run(control::coordinator::run),
+        Command::DataPlane(metrics) => run(data_plane::run, metrics),
+        Command::Agent(metrics) => run(control::agent::run, metrics),
+        Command::Coordinator(metrics) => run(control::coordinator::run, metrics),
         Command::CheckSettings { file } => tools::check_settings(&file, out),
         Command::CheckConfiguration { file } => tools::check_configuration(&file, out),
         Command::Status { address } => tools::show_status(address, out),
@@ -82,10 +83,18 @@
     }
 }
 
-fn run(role: fn(Settings) -> ExitCode) -> ExitCode {
+/// Where the role tells its own figures, as text: a port of its machine and a path
+fn metrics_at() -> impl Parser<Option<MetricsAt>> {
+    long("metrics")
+        .help("Where the role tells its figures as text")
+        .argument::<MetricsAt>("PORT/PATH")
+        .optional()
+}
+
+fn run(role: fn(Settings, Option<MetricsAt>) -> ExitCode, metrics: Option<MetricsAt>) -> ExitCode {
     start_log();
     match Settings::from_environment() {
-        Ok(settings) => role(settings),
+        Ok(settings) => role(settings, metrics),
         Err(fault) => {
             log::error!("settings: {fault}");
             ExitCode::FAILURE
--- a/crates/marlwinch/src/data_plane/attempts.rs
+++ b/crates/marlwinch/src/data_plane/attempts.rs
@@ -63,12 +63,14 @@
             let (underway, backend, urgency) = self.pick()?;
             let answered = match self.send(&backend, urgency, after).await {
                 Sent::Failed(proof) => {
+                    self.node.figures.sent(proof);
                     self.sends.note(proof);
                     underway.end(outcome(proof), None);
                     continue;
                 }
                 Sent::Answered(answered) => *answered,
             };
+            self.node.figures.sent(answered.proof);
             self.sends.note(answered.proof);
             if let Some(load) = answered.load {
                 underway.told(load);
@@ -147,8 +149,11 @@
                 underway.end(Outcome::NotConnected, None);
                 continue;
             };
-            if is_repeat && !asked.service.take_budget() {
-                return Err(self.given_up(None));
+            if is_repeat {
+                if !asked.service.take_budget() {
+                    return Err(self.given_up(None));
+                }
+                self.node.figures.repeat();
             }
             return Ok((underway, backend, urgency));
         }
--- a/crates/marlwinch/src/data_plane/intake.rs
+++ b/crates/marlwinch/src/data_plane/intake.rs
@@ -199,6 +199,7 @@
 async fn exchange(node: &Rc<Node>, state: &Rc<State>, request: Request<Incoming>) -> Response<Reply> {
     let busy = Busy::new(state);
     let in_chunks = request.headers().contains_key(header::TRANSFER_ENCODING);
+    node.figures.request();
     let answer = match state.heads.fault() {
         Some(fault) => {
             log::debug!("a request is not taken: {fault}");
@@ -206,6 +207,9 @@
         }
         None => answer(node, state, request).await,
     };
+    if let Err(own) = &answer {
+        node.figures.answered(*own);
+    }
     // Behind a body in chunks heads are not watched; one that came as its connection was to be closed is the last there.
     let last = node.ending.get() || state.closing.get().is_some() || in_chunks;
     let close = last || answer.as_ref().is_err_and(|own| own.ends_connection());
--- a/crates/marlwinch/src/data_plane/mod.rs
+++ b/crates/marlwinch/src/data_plane/mod.rs
@@ -9,6 +9,7 @@
 mod ending;
 pub mod events;
 mod intake;
+mod metrics;
 mod node;
 mod own;
 mod probes;
@@ -22,6 +23,7 @@
 
 use crate::clients::listeners::BACKLOG;
 use boot::Settings;
+use control::metrics::MetricsAt;
 use node::Node;
 use protocol::{FromProxy, ToProxy};
 use std::io;
@@ -49,10 +51,10 @@
 }
 
 /// Runs until told to end.
-pub fn run(settings: Settings) -> ExitCode {
+pub fn run(settings: Settings, metrics: Option<MetricsAt>) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run_here(settings)),
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run_here(settings, metrics)),
         Err(error) => Err(error),
     };
     match done {
@@ -64,7 +66,7 @@
     }
 }
 
-async fn run_here(settings: Settings) -> io::Result<()> {
+async fn run_here(settings: Settings, metrics: Option<MetricsAt>) -> io::Result<()> {
     let sockets = Sockets {
         frontend: listen(settings.listen.frontend, "frontend")?,
         readiness: listen(settings.listen.readiness, "readiness")?,
@@ -74,15 +76,25 @@
     let (to_agent, from_node) = unbounded_channel();
     let link = agent_link::run(settings.agent_address(), to_node, from_node);
     spawn_local(link);
-    serve(settings, sockets, Feed { from_agent, to_agent }, end).await;
+    let node = Rc::new(Node::new(&settings, to_agent));
+    control::metrics::start(settings.ip, metrics.as_ref(), node.figures.clone());
+    serve_node(node, sockets, from_agent, end).await;
     Ok(())
 }
 
 /// Serves until `end` comes and what was taken by then is answered, at the latest shortly before the grace is over. To
 /// be called on a `LocalSet`.
 pub async fn serve(settings: Settings, sockets: Sockets, feed: Feed, end: impl Future<Output = ()>) {
-    let Feed { mut from_agent, to_agent } = feed;
-    let node = Rc::new(Node::new(&settings, to_agent));
+    let Feed { from_agent, to_agent } = feed;
+    serve_node(Rc::new(Node::new(&settings, to_agent)), sockets, from_agent, end).await;
+}
+
+async fn serve_node(
+    node: Rc<Node>,
+    sockets: Sockets,
+    mut from_agent: UnboundedReceiver<ToProxy>,
+    end: impl Future<Output = ()>,
+) {
     let fed = node.clone();
     spawn_local(async move {
         while let Some(message) = from_agent.recv().await {
--- a/crates/marlwinch/src/data_plane/node.rs
+++ b/crates/marlwinch/src/data_plane/node.rs
@@ -2,6 +2,7 @@
 //! says; sends nothing to a backend.
 
 use crate::data_plane::backend::{Backend, OpenSockets};
+use crate::data_plane::metrics::DataPlaneFigures;
 use crate::data_plane::service::Service;
 use crate::data_plane::tenants::Limits;
 use boot::{Bounds, Settings};
@@ -57,6 +58,8 @@
     pub most_clients: usize,
     /// The KiB that bodies in hand may still take. Guards the node's memory.
     pub room_in_hand: Arc<Semaphore>,
+    /// What is counted for whoever asks.
+    pub figures: Arc<DataPlaneFigures>,
     /// Whether the process has been told to end.
     pub ending: Cell<bool>,
     started: Instant,
@@ -84,6 +87,7 @@
             sockets: Rc::new(OpenSockets::new(descriptors / 2)),
             most_clients: descriptors / 2,
             room_in_hand: Arc::new(Semaphore::new(kib_in_hand as usize)),
+            figures: Arc::default(),
             ending: Cell::new(false),
             started,
             in_force: RefCell::default(),
@@ -211,6 +215,7 @@
         log::info!("configuration {sequence}: generation {} is in force", configuration.generation);
         self.limits.configure(&configuration.tenants);
         let table = RouteTable::new(configuration);
+        self.figures.in_force(sequence);
         self.in_force.replace(Some(Rc::new(InForce { sequence, table })));
         self.reconfigure_services();
         self.tell(FromProxy::InForce { sequence });
@@ -231,6 +236,7 @@
         if self.list_version.replace(Some(list.version)).is_none() {
             log::info!("list {}: {} backends are known", list.version, list.backends.len());
         }
+        self.figures.list(list.version);
         self.note_drains(&list);
         let mut by_service: HashMap<&str, Vec<Rc<Backend>>> = HashMap::new();
         for listed in &list.backends {
