--- a/crates/control/src/agent/metrics.rs
+++ b/crates/control/src/agent/metrics.rs
@@ -1,7 +1,7 @@
 //! An agent's figures, brought up to date by its main loop.
 
 use super::knowledge::Knowledge;
-use crate::metrics::Figures;
+use crate::metrics::{Figures, counter, gauge};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
@@ -21,11 +21,7 @@
 impl Default for AgentFigures {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("marlwinch_agent");
-        let mut gauge = |name: &str, help: &str| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
+        let mut gauge = |name: &str, help: &str| gauge(&mut registry, name, help);
         let view = gauge("view", "Number of the view that coordinators told");
         let have = gauge("configuration_sequence", "Sequence of the configuration in hand");
         let in_force =
@@ -33,8 +29,7 @@
         let links = gauge("links", "Coordinators that are connected");
         let list_version = gauge("list_version", "Version of the list of backends");
         let proxy = gauge("proxy", "Whether the proxy is connected");
-        let links_made = Counter::default();
-        registry.register("links_made", "Connections to coordinators since the start", links_made.clone());
+        let links_made = counter(&mut registry, "links_made", "Connections to coordinators since the start");
         AgentFigures { registry, view, have, in_force, links, links_made, list_version, proxy }
     }
 }
--- a/crates/control/src/coordinator/metrics.rs
+++ b/crates/control/src/coordinator/metrics.rs
@@ -3,7 +3,7 @@
 
 use super::node::Node;
 use super::status;
-use crate::metrics::Figures;
+use crate::metrics::{Figures, gauge};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -78,11 +78,7 @@
     /// The figures of a coordinator.
     pub fn new(node: &Arc<Node>) -> Self {
         let mut registry = Registry::with_prefix("marlwinch_coordinator");
-        let mut gauge = |name: &str, help: &str| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
+        let mut gauge = |name: &str, help: &str| gauge(&mut registry, name, help);
         let in_touch = gauge("in_touch", "Whether a majority of the voters was heard from lately");
         let acting_head = gauge("acting_head", "Whether it is the acting head of the chain");
         let view = gauge("view", "Number of the view that it knows");
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -7,6 +7,8 @@
 use poem::web::Data;
 use poem::{EndpointExt, IntoEndpoint, Response, Route, Server, get, handler};
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use quick_error::quick_error;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -55,6 +57,20 @@
     }
 }
 
+/// A gauge that is in a registry.
+pub fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::default();
+    registry.register(name, help, gauge.clone());
+    gauge
+}
+
+/// A counter that is in a registry.
+pub fn counter(registry: &mut Registry, name: &str, help: &str) -> Counter {
+    let counter = Counter::default();
+    registry.register(name, help, counter.clone());
+    counter
+}
+
 /// A role's figures.
 pub trait Figures: Send + Sync + 'static {
     /// Brings what is read from the role's state up to date.
--- a/crates/marlwinch/src/data_plane/metrics.rs
+++ b/crates/marlwinch/src/data_plane/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::data_plane::own::Own;
 use crate::data_plane::resend::Proof;
-use control::metrics::Figures;
+use control::metrics::{Figures, counter, gauge};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -28,18 +28,13 @@
 impl Default for DataPlaneFigures {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("marlwinch_data_plane");
-        let requests = Counter::default();
-        registry.register("requests", "Requests taken", requests.clone());
-        let own = Family::default();
+        let requests = counter(&mut registry, "requests", "Requests taken");
+        let repeats = counter(&mut registry, "repeats", "Sends that the budget of retries paid for");
+        let in_force = gauge(&mut registry, "in_force_sequence", "Sequence of the configuration in force");
+        let list_version = gauge(&mut registry, "list_version", "Version of the list of backends");
+        let (own, sends) = (Family::default(), Family::default());
         registry.register("own_answers", "Requests that no backend answered, by cause", own.clone());
-        let sends = Family::default();
         registry.register("sends", "Sends to backends, by what they prove of their request", sends.clone());
-        let repeats = Counter::default();
-        registry.register("repeats", "Sends that the budget of retries paid for", repeats.clone());
-        let in_force = Gauge::default();
-        registry.register("in_force_sequence", "Sequence of the configuration in force", in_force.clone());
-        let list_version = Gauge::default();
-        registry.register("list_version", "Version of the list of backends", list_version.clone());
         DataPlaneFigures { registry, requests, own, sends, repeats, in_force, list_version }
     }
 }
