--- a/crates/control/src/agent/fetch.rs
+++ b/crates/control/src/agent/fetch.rs
@@ -7,7 +7,7 @@
 /// A coordinator that has not sent what it was asked for within this time is passed over for another one.
 pub const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 
-/// A configuration is taken this long after it was asked for at the latest, plus [`PER_MEBIBYTE`] of it: the coordinator may
+/// A configuration is taken this long after it was asked for at the latest, plus two seconds for each MiB: the coordinator may
 /// have stood still between the proof that it was the newest and its sending.
 pub const FRESH_WITHIN: Duration = Duration::from_secs(3);
 const PER_MEBIBYTE: Duration = Duration::from_secs(2);
