Count with what busy nodes that a new grantor does not hear were promised

A grantor promises a node what it goes on with alone by what it used lately; the next grantor counted the promises of nodes that it had not heard from by their even parts, and promised those that it heard the whole rate anew. Two busy nodes of four behind a cut-off head went on with 161 a second where 100 were counted: 260 a second under a limit of 200. Change: pool.rs counts with the rate less what the heard nodes brought with them, at most twice the even part for each node that was not heard; a promise is at most twice the even part and leaves what is unknown free. Amounts of a message that are no numbers are made 0 in one place. Ruled out: the bound by what was brought alone (a fleet that begins anew would wait 12 s for a node that does not ask), even promises (busy nodes would refuse half while cut off).

--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -15,6 +15,9 @@
 const DEPTH: f64 = 0.65;
 /// A node without a grantor for long uses this part of the limit, divided by the number of nodes.
 pub(crate) const KEPT_BACK: f64 = 0.3;
+/// By how many times its even part of the rate a node is promised at most. Guards against a node that a next grantor does not
+/// hear: what it goes on with then is bounded by the number of such nodes.
+pub(crate) const MOST_UNEVEN: f64 = 2.0;
 /// The number of nodes that is assumed before any is told.
 pub(crate) const ASSUMED_NODES: u32 = 16;
 /// The least number of nodes that is counted with. Guards against a count from the first moments of a fleet.
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -1,6 +1,6 @@
 //! The fleet's bucket of one tenant's limit, as the grantor keeps it.
 
-use crate::limit::{CONTACT, CONTINUED, Limit, Room, Terms};
+use crate::limit::{CONTACT, CONTINUED, Limit, MOST_UNEVEN, Room, Terms};
 use crate::meter::Meter;
 use protocol::Demand;
 use std::collections::BTreeMap;
@@ -72,6 +72,8 @@
     used: Meter,
     /// The sum of what nodes may go on with: not more than the rate, but for a while after that was lowered.
     promised: f64,
+    /// The sum of what nodes went on with as this grantor heard from each for the first time: promises of one before it.
+    brought: f64,
     accounts: BTreeMap<String, Account>,
 }
 
@@ -86,6 +88,7 @@
             asked: Meter::new(ASKED_MEASURED, now),
             used: Meter::new(USE_MEASURED, now),
             promised: 0.0,
+            brought: 0.0,
             accounts: BTreeMap::new(),
         }
     }
@@ -99,6 +102,8 @@
             account.continuing *= (limit.rate / self.limit.rate).max(1.0);
         }
         self.promised = self.accounts.values().map(|account| account.continuing).sum();
+        // Nodes go on with as much more or less as soon as they know of the limit.
+        self.brought *= limit.rate / self.limit.rate;
         self.limit = limit;
         self.room = limit.room(terms);
         self.level = self.level.min(self.room.depth);
@@ -122,14 +127,16 @@
         }
     }
 
-    /// What nodes may go on with that a grantor before knew, and that this one has not heard from.
+    /// What nodes may go on with that a grantor before knew, and that this one has not heard from: what that one had promised
+    /// to others than those who were heard, and to each of them no more than its most uneven part.
     fn unknown(&self, now: Duration, nodes: &Nodes) -> f64 {
         if now >= nodes.began + 2 * CONTACT + CONTINUED {
             return 0.0;
         }
         let count = f64::from(nodes.count.max(1));
         let unheard = (count - self.accounts.len() as f64).max(0.0);
-        self.limit.rate * unheard / count
+        let promised_to_each = self.limit.rate * MOST_UNEVEN / count;
+        (self.limit.rate - self.brought).max(0.0).min(unheard * promised_to_each)
     }
 
     /// Takes in what has flowed in since the last time. To be done often, as it counts with those who are silent now.
@@ -147,11 +154,12 @@
     }
 
     /// A node tells what it has allowed itself without a grantor: what was taken off for it is set against that.
-    fn settle(&mut self, now: Duration, node: &str, alone: f64) {
+    fn settle(&mut self, now: Duration, node: &str, alone: f64, goes_on_with: f64) {
         let first =
             || Account { continuing: 0.0, used: Meter::new(USE_MEASURED, now), alone, taken_off: 0.0 };
         if !self.accounts.contains_key(node) {
             self.accounts.insert(node.to_string(), first());
+            self.brought += goes_on_with.clamp(0.0, self.limit.rate);
         }
         let Some(account) = self.accounts.get_mut(node) else { return };
         // Less than before is said by a process that began anew.
@@ -179,13 +187,13 @@
     /// A node asks.
     pub fn demand(&mut self, now: Duration, node: &str, demand: &Demand, nodes: &Nodes) -> Given {
         self.fill(now, nodes);
-        self.settle(now, node, if demand.alone.is_finite() { demand.alone.max(0.0) } else { 0.0 });
+        self.settle(now, node, finite(demand.alone), finite(demand.continuing));
         let waiting: f64 = demand.waiting.iter().sum();
         let (granted, lacking) = self.grant(&demand.waiting);
         let top_up = self.top_up(demand.top_up);
         self.asked.add(now, waiting.max(0.0));
         self.used.add(now, granted + top_up);
-        let continuing = self.promise(now, node, granted + top_up, demand.continuing, nodes);
+        let continuing = self.promise(now, node, granted + top_up, finite(demand.continuing), nodes);
         let (wait_ms, retry_ms) = lacking.map_or((0, 0), |lacking| self.waits_ms(now, lacking, nodes));
         let left = (self.level + self.room.debt).max(0.0);
         Given { amount: granted + top_up, continuing, left, wait_ms, retry_ms }
@@ -207,25 +215,28 @@
     }
 
     fn top_up(&mut self, wanted: f64) -> f64 {
-        let wanted = if wanted.is_finite() { wanted.max(0.0) } else { 0.0 };
+        let wanted = finite(wanted);
         let given = (self.level - self.room.depth * LEFT_BY_TOP_UPS).clamp(0.0, wanted);
         self.level -= given;
         given
     }
 
     /// Promises a node what it goes on with when it hears of no grantor: what it used lately, and an even part of what nobody
-    /// did; but no more than is not promised to others, so that all promises together keep the rate however old some are.
+    /// did; but no more than is not promised to others, so that all promises together keep the rate however old some are, and
+    /// no more than its most uneven part.
     /// `goes_on_with` is what the node says to have been promised: it may go on with that until the answer arrives.
     fn promise(&mut self, now: Duration, node: &str, used: f64, goes_on_with: f64, nodes: &Nodes) -> f64 {
         let all_used = self.used.rate(now);
-        let count = (nodes.count as usize).max(self.accounts.len()) as f64;
+        let unknown = self.unknown(now, nodes);
+        let count = (nodes.count as usize).max(self.accounts.len()).max(1) as f64;
         let (rate, promised) = (self.limit.rate, self.promised);
         let Some(account) = self.accounts.get_mut(node) else { return 0.0 };
         account.used.add(now, used);
         let own = account.used.rate(now);
         let wanted = if all_used > rate { own * rate / all_used } else { own + (rate - all_used) / count };
         let others = promised - account.continuing;
-        let continuing = wanted.min(rate - others).max(0.0);
+        let most = rate * MOST_UNEVEN / count;
+        let continuing = wanted.min(most).min(rate - others - unknown).max(0.0);
         account.continuing = continuing.max(goes_on_with.clamp(0.0, rate));
         self.promised = others + account.continuing;
         continuing
@@ -246,3 +257,8 @@
         self.promised = self.accounts.values().map(|account| account.continuing).sum();
     }
 }
+
+/// An amount of a message; 0 for one that makes no sense.
+fn finite(amount: f64) -> f64 {
+    if amount.is_finite() { amount.max(0.0) } else { 0.0 }
+}
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -81,6 +81,8 @@
     /// Questions that were asked, and those of them that name the tenant.
     pub questions: (usize, usize),
     under_way: Vec<(Duration, Message)>,
+    /// How the requests are divided among the nodes; evenly where it is empty.
+    pub weights: Vec<f64>,
     pub rng: Pcg64,
 }
 
@@ -97,6 +99,7 @@
             counts: Counts::default(),
             questions: (0, 0),
             under_way: Vec::new(),
+            weights: Vec::new(),
             rng,
         };
         fleet.nodes = (0..nodes).map(|_| fleet.fresh(0)).collect();
@@ -165,6 +168,20 @@
         }
     }
 
+    /// The node that the next request comes to.
+    pub fn draw_node(&mut self) -> usize {
+        let count = self.nodes.len();
+        if self.weights.is_empty() {
+            return self.rng.random_range(0..count);
+        }
+        let mut left = self.rng.random_range(0.0..self.weights.iter().sum());
+        let passed = |weight: &f64| {
+            left -= weight;
+            left < 0.0
+        };
+        self.weights.iter().position(passed).unwrap_or(count - 1)
+    }
+
     /// A request comes to a node, or to the next one that is there.
     pub fn request(&mut self, node: usize, cost: f64) {
         let count = self.nodes.len();
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -31,7 +31,7 @@
         let mut left = tokens_per_s / MEAN_COST * STEP.as_secs_f64();
         while left > 0.0 {
             if fleet.rng.random_bool(left.min(1.0)) {
-                let (node, cost) = (fleet.rng.random_range(0..NODES), cost(&mut fleet.rng));
+                let (node, cost) = (fleet.draw_node(), cost(&mut fleet.rng));
                 fleet.request(node, cost);
                 came += 1;
             }
@@ -261,7 +261,20 @@
 fn day_of_faults(seed: u64) -> f64 {
     let mut rng = Pcg64::seed_from_u64(seed);
     let rate = [30_000.0, 80_000.0, 170_000.0][rng.random_range(0..3)];
+    troubles(Fleet::new(NODES, tenant(rate, Unit::Tokens), rng), rate)
+}
+
+/// The same, but a few nodes get most of the requests.
+fn uneven_day_of_faults(seed: u64) -> f64 {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let rate = [80_000.0, 170_000.0, 600_000.0][rng.random_range(0..3)];
     let mut fleet = Fleet::new(NODES, tenant(rate, Unit::Tokens), rng);
+    fleet.weights = (0..NODES).map(|_| if fleet.rng.random_bool(0.3) { 20.0 } else { 1.0 }).collect();
+    troubles(fleet, rate)
+}
+
+/// Plays faults; returns the worst window against what the rule lets through.
+fn troubles(mut fleet: Fleet, rate: f64) -> f64 {
     play(&mut fleet, 10.0, 0.0);
     for _ in 0..30 {
         let demand = rate * fleet.rng.random_range(0.2..6.0);
@@ -306,20 +319,47 @@
     first..first + number("SEEDS").unwrap_or(150)
 }
 
-fn beyond_the_rule(days: impl Iterator<Item = u64>) -> Vec<(u64, f64)> {
-    days.map(|seed| (seed, day_of_faults(seed))).filter(|(_, worst)| *worst > 1.0).collect()
+fn beyond_the_rule(day: fn(u64) -> f64, days: impl Iterator<Item = u64>) -> Vec<(u64, f64)> {
+    days.map(|seed| (seed, day(seed))).filter(|(_, worst)| *worst > 1.0).collect()
 }
 
 #[test]
 fn no_window_goes_beyond_the_rule_whatever_fails() {
-    let beyond = beyond_the_rule(seeds());
+    let beyond = beyond_the_rule(day_of_faults, seeds());
+    assert!(beyond.is_empty(), "seed and part of what the rule lets through: {beyond:?}");
+}
+
+#[test]
+fn no_window_goes_beyond_the_rule_where_few_nodes_get_most() {
+    let beyond = beyond_the_rule(uneven_day_of_faults, seeds());
     assert!(beyond.is_empty(), "seed and part of what the rule lets through: {beyond:?}");
 }
 
+/// A grantor begins that does not hear the nodes which used most under the one before: they go on with what that one promised
+/// them, and the others get only the rest.
+#[test]
+fn a_grantor_that_begins_counts_with_busy_nodes_that_it_does_not_hear() {
+    for busy in 1..=4 {
+        for seed in 0..4 {
+            let rate = 600_000.0;
+            let mut fleet = Fleet::new(NODES, tenant(rate, Unit::Tokens), Pcg64::seed_from_u64(seed));
+            fleet.weights = (0..NODES).map(|node| if node < busy { 20.0 } else { 1.0 }).collect();
+            play(&mut fleet, 10.0, 0.0);
+            play(&mut fleet, 20.0, rate * 1.5);
+            (0..busy).for_each(|node| fleet.nodes[node].cut = true);
+            fleet.new_grantor();
+            fleet.weights = Vec::new();
+            play(&mut fleet, 12.0, rate * 10.0);
+            let worst = fleet.worst_window() / bound(rate, Unit::Tokens);
+            assert!(worst <= 1.0, "{busy} busy nodes, seed {seed}: {worst} of what the rule lets through");
+        }
+    }
+}
+
 /// Found by soaks: some one day in 24,000 goes beyond the rule, as after several cuts and the loss of the grantor.
 #[test]
 fn days_found_by_soaks_stay_within_the_rule() {
-    let beyond = beyond_the_rule([13686831495141179742, 18276215169540186140].into_iter());
+    let beyond = beyond_the_rule(day_of_faults, [13686831495141179742, 18276215169540186140].into_iter());
     assert!(beyond.is_empty(), "seed and part of what the rule lets through: {beyond:?}");
 }
 
