Play operators, agents, nodes and grantors in one simulated world with the replicas

Need: what agents are told, what operators hear and what is granted was modelled part by part; the joints between the parts (a proof that comes as its coordinator stands still, two grantors that each reach some nodes) were argued only. Change: agents' questions for the newest configuration are a state machine of their own (coordinator/agents/fetches.rs, no I/O), taken out of the table of links; its order of questions, proofs and answers is held against a plain account by quickcheck. tests/one_world joins the replicas' simulation (real replicas, operators, drawn schedules, storms, overlapping losses) with the real agents' knowledge, fetches, grantors (Quotas) and nodes' limits: agents that start anew, reach one coordinator only or none; checked are what an agent takes against all that anyone had seen as committed before it asked, that it never goes back, that every agent has the newest within 2 s once all is over, and the limit over all nodes at each step. Planted: a coordinator that hands out what is not proven, a grantor that goes on whatever it is: both noticed. Ruled out: a model of the coordinator beside the real one (it would hold the model's rules, not the code's).

--- a/crates/control/src/coordinator/agents/mod.rs
+++ b/crates/control/src/coordinator/agents/mod.rs
@@ -1,7 +1,10 @@
 //! The agents that are connected, what each was sent, and what is sent to all of them.
 
+mod fetches;
 mod told_list;
 
+pub use fetches::{Answerable, Fetches, Ticket};
+
 use super::clock::Clock;
 use super::core::{Standing, in_order};
 use crate::link::Outgoing;
@@ -27,8 +30,8 @@
 const DIGEST_EVERY: Duration = Duration::from_secs(2);
 
 /// Names a connection of an agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LinkId(u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
 
 /// An agent as it introduced itself.
 #[derive(Clone, Debug)]
@@ -77,27 +80,13 @@
     configuration: Option<(u64, Bytes)>,
     backends: Option<ToldList>,
     digest_told: Duration,
-    /// The ticket that the next proof is begun with.
-    ticket: u64,
-}
-
-/// A configuration that an agent has asked for.
-#[derive(Clone, Copy)]
-struct Wanted {
-    sequence: u64,
-    /// The agent's number of the question.
-    question: u64,
-    /// The proof has to be begun with this ticket or a later one.
-    ticket: u64,
-    /// What was proven to be the newest after the agent had asked.
-    proven: Option<u64>,
+    fetches: Fetches,
 }
 
 struct AgentLink {
     introduction: Introduction,
     outgoing: Outgoing,
     in_force: u64,
-    wants: Option<Wanted>,
     sent: Duration,
     heard: Duration,
 }
@@ -115,7 +104,7 @@
         inner.nodes.insert(introduction.node.clone(), now);
         inner.links_so_far += 1;
         let id = LinkId(inner.links_so_far);
-        let link = AgentLink { introduction, outgoing, in_force: 0, wants: None, sent: now, heard: now };
+        let link = AgentLink { introduction, outgoing, in_force: 0, sent: now, heard: now };
         // The others hear of another node as the coordinator looks around: a whole fleet may come at once.
         for frame in inner.all_in_force() {
             link.send_frame(frame);
@@ -126,7 +115,9 @@
 
     /// An agent's connection has ended.
     pub fn leave(&self, id: LinkId) {
-        self.inner().links.remove(&id);
+        let mut inner = self.inner();
+        inner.links.remove(&id);
+        inner.fetches.forget(id);
     }
 
     /// A node has ended in order: it no longer counts among those that carry traffic.
@@ -158,9 +149,8 @@
     /// which one is the newest, and that one is known here.
     pub fn fetch(&self, id: LinkId, sequence: u64, question: u64) {
         let mut inner = self.inner();
-        let ticket = inner.ticket;
-        if let Some(link) = inner.links.get_mut(&id) {
-            link.wants = Some(Wanted { sequence, question, ticket, proven: None });
+        if inner.links.contains_key(&id) {
+            inner.fetches.ask(id, sequence, question);
         }
         self.proof_wanted.notify_one();
     }
@@ -170,25 +160,16 @@
         self.proof_wanted.notified().await;
     }
 
-    /// A proof begins, for all that have asked by now: gives its ticket. `None` if nobody waits for one.
-    pub fn begin_proof(&self) -> Option<u64> {
-        let mut inner = self.inner();
-        let waits = |link: &AgentLink| link.wants.is_some_and(|wanted| wanted.proven.is_none());
-        if !inner.links.values().any(waits) {
-            return None;
-        }
-        inner.ticket += 1;
-        Some(inner.ticket - 1)
+    /// A proof begins, for all that have asked by now. `None` if nobody waits for one.
+    pub fn begin_proof(&self) -> Option<Ticket> {
+        self.inner().fetches.begin_proof()
     }
 
     /// The proof that was begun with a ticket has come: this was the newest at some moment since.
-    pub fn proven(&self, ticket: u64, sequence: u64) {
+    pub fn proven(&self, ticket: Ticket, sequence: u64) {
         let now = self.clock.now();
         let mut inner = self.inner();
-        let wanted = inner.links.values_mut().filter_map(|link| link.wants.as_mut());
-        for wanted in wanted.filter(|wanted| wanted.ticket <= ticket && wanted.proven.is_none()) {
-            wanted.proven = Some(sequence);
-        }
+        inner.fetches.proven(ticket, sequence);
         inner.answer_fetches(now);
     }
 
@@ -407,14 +388,14 @@
 
     fn answer_fetches(&mut self, now: Duration) {
         let Some(entry) = self.entry.clone() else { return };
-        for link in self.links.values_mut() {
-            let Some(wanted) = link.wants.filter(|wanted| wanted.is_met_by(entry.sequence)) else { continue };
+        for answerable in self.fetches.take_answerable(entry.sequence) {
             let known = self.configuration.take().filter(|(sequence, _)| *sequence == entry.sequence);
             let (sequence, frame) = known.unwrap_or_else(|| (entry.sequence, configuration_frame(&entry)));
-            link.wants = None;
-            link.sent = now;
-            link.send(&ToAgent::Newest { question: wanted.question, sequence });
-            link.send_frame(frame.clone());
+            if let Some(link) = self.links.get_mut(&answerable.link) {
+                link.sent = now;
+                link.send(&ToAgent::Newest { question: answerable.question, sequence });
+                link.send_frame(frame.clone());
+            }
             self.configuration = Some((sequence, frame));
         }
     }
@@ -431,13 +412,6 @@
     }
 }
 
-impl Wanted {
-    /// Whether the configuration of a sequence may be handed out: nothing newer was there when it was asked for.
-    fn is_met_by(&self, sequence: u64) -> bool {
-        self.proven.is_some_and(|proven| sequence >= proven.max(self.sequence))
-    }
-}
-
 impl AgentLink {
     fn send(&self, message: &ToAgent) {
         self.send_frame(frame(message));
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -14,7 +14,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peers;
-mod quotas;
+pub mod quotas;
 mod settings_file;
 pub mod status;
 pub mod storage;
--- /dev/null
+++ b/crates/control/tests/one_world/frontend.rs
@@ -0,0 +1,99 @@
+//! A frontend machine: its agent, and the limits of its data plane under load.
+
+use configuration::{Tenant, Unit};
+use control::agent::Knowledge;
+use protocol::QuotaQuestion;
+use quota::{Admission, TenantLimits, Terms, Ticket};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const TENANT: &str = "t";
+pub const TERMS: Terms = Terms { window_s: 8.0, over: 0.1, slack: 0.0 };
+/// Requests a second over all frontends, and at once beyond that.
+pub const RATE: f64 = 200.0;
+
+pub fn tenant() -> Tenant {
+    Tenant {
+        name: TENANT.into(),
+        api_keys: Vec::new(),
+        priority: 0,
+        unit: Unit::Requests,
+        plain_tokens: None,
+        rate_per_s: Some(RATE),
+        burst: Some(RATE),
+    }
+}
+
+/// What the rule lets through in a window.
+pub fn bound() -> f64 {
+    (RATE * TERMS.window_s + RATE) * (1.0 + TERMS.over) + TERMS.slack
+}
+
+pub struct Frontend {
+    pub knowledge: Knowledge,
+    /// Coordinators that it can't reach.
+    pub cut_from: BTreeSet<usize>,
+    /// When it asked for a configuration, by the number of the question.
+    pub asked: BTreeMap<u64, Duration>,
+    pub looked: Duration,
+    limits: TenantLimits,
+    waiting: Vec<Ticket>,
+    /// The part of a request that has not come yet.
+    arriving: f64,
+}
+
+impl Frontend {
+    pub fn start(now: Duration) -> Self {
+        let mut limits = TenantLimits::new(TERMS, now);
+        limits.configure(now, &[tenant()]);
+        let mut knowledge = Knowledge::default();
+        // A data plane that has no configuration yet.
+        knowledge.proxy_up(now, 0);
+        Frontend {
+            knowledge,
+            cut_from: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            looked: now,
+            limits,
+            waiting: Vec::new(),
+            arriving: 0.0,
+        }
+    }
+
+    /// Lets requests come for a while; gives how many were admitted by now.
+    pub fn requests(&mut self, now: Duration, count: f64) -> usize {
+        let mut admitted = self.decide(now);
+        self.arriving += count;
+        while self.arriving >= 1.0 {
+            self.arriving -= 1.0;
+            match self.limits.admit(now, TENANT, 1.0) {
+                Admission::Admitted => admitted += 1,
+                Admission::Undecided(ticket) => self.waiting.push(ticket),
+                Admission::Refused(_) => {}
+            }
+        }
+        admitted
+    }
+
+    fn decide(&mut self, now: Duration) -> usize {
+        let mut admitted = 0;
+        for ticket in std::mem::take(&mut self.waiting) {
+            match self.limits.decide(now, TENANT, 1.0, ticket) {
+                Admission::Admitted => admitted += 1,
+                Admission::Undecided(ticket) => self.waiting.push(ticket),
+                Admission::Refused(_) => {}
+            }
+        }
+        admitted
+    }
+
+    /// The question to the grantor, if one is due.
+    pub fn question(&mut self, now: Duration) -> Option<QuotaQuestion> {
+        let is_due = self.limits.due().is_some_and(|due| now >= due);
+        is_due.then(|| self.limits.demands(now))
+    }
+
+    pub fn answered(&mut self, now: Duration, answer: &protocol::QuotaAnswer) {
+        self.limits.allotted(now, answer);
+    }
+}
--- /dev/null
+++ b/crates/control/tests/one_world/main.rs
@@ -0,0 +1,141 @@
+//! Replicas, operators, agents, nodes and grantors of limits in one simulated world: what agents are told, what operators hear
+//! and what nodes admit, checked end to end under drawn troubles. A failure prints its seed; more are played by
+//! `SEEDS=2000 FIRST_SEED=1 cargo test --release -p control --test one_world`.
+
+mod fleet;
+mod frontend;
+#[path = "../../../replication/tests/simulation/mod.rs"]
+mod simulation;
+
+use fleet::{Fleet, PlantedFault};
+use simulation::operators::change;
+use simulation::schedule::{Schedule, draw_overlaps, draw_storm, draw_world};
+use simulation::{World, ms, seeds};
+use std::time::Duration;
+
+const FRONTENDS: usize = 4;
+const TROUBLES_FOR: Duration = Duration::from_secs(30);
+
+/// Plays one seed; gives the rule that was broken.
+fn play(seed: u64, fault: Option<PlantedFault>) -> Option<String> {
+    let schedule = match seed % 3 {
+        0 => Schedule::new(draw_world(seed)),
+        1 => draw_storm(seed),
+        _ => draw_overlaps(seed),
+    };
+    let mut fleet = Fleet::new(schedule, FRONTENDS, fault);
+    fleet.play(TROUBLES_FOR);
+    fleet.settle();
+    fleet.broken()
+}
+
+#[test]
+fn agents_operators_and_limits_agree_whatever_happens() {
+    for seed in seeds(24) {
+        let broken = play(seed, None);
+        assert_eq!(broken, None, "seed {seed}");
+    }
+}
+
+/// What a planted fault breaks in the first of some seeds that notices it.
+fn noticed(fault: PlantedFault) -> String {
+    let broken = (1..=40).find_map(|seed| play(seed, Some(fault)));
+    broken.unwrap_or_else(|| panic!("{fault:?} is not noticed"))
+}
+
+#[test]
+fn a_coordinator_that_hands_out_what_is_not_proven_would_be_noticed() {
+    let broken = noticed(PlantedFault::HandsOutUnproven);
+    assert!(broken.contains("was seen before it asked"), "{broken}");
+}
+
+/// Three machines whose chain has taken one change; agents have it.
+fn calm(fault: Option<PlantedFault>) -> Fleet {
+    let mut world = World::new(5, 3, 1);
+    world.run_until_holds(ms(4_000), World::whole).expect("three seeds form a chain");
+    let head = world.head().expect("a head");
+    world.write(head, change(0, 1, 1, 100));
+    let mut fleet = Fleet::new(Schedule::new(world), FRONTENDS, fault);
+    fleet.quietly(ms(1_500));
+    assert!((0..FRONTENDS).all(|frontend| fleet.configuration_of(frontend) == 1));
+    fleet
+}
+
+/// What an agent that starts beside a cut-off coordinator alone is told in 20 s, while others go on; and once that is over.
+fn told_beside_a_cut_off_coordinator(place: usize, fault: Option<PlantedFault>) -> (u64, u64) {
+    let mut fleet = calm(fault);
+    let chain = fleet.schedule.world.view().expect("a view").chain;
+    let machine = fleet.schedule.world.machine_of(chain[place]).expect("it runs");
+    fleet.schedule.world.cut_off(machine);
+    fleet.restart_frontend(0);
+    for other in (0..3).filter(|other| *other != machine) {
+        fleet.cut_frontend(0, other);
+    }
+    for generation in 1..10 {
+        let other = (machine + 1) % 3;
+        fleet.schedule.world.write(other, change(generation, generation + 1, generation + 1, 100));
+        fleet.quietly(ms(2_200));
+    }
+    assert_eq!(fleet.configuration_of(1), 10, "the others go on");
+    let meanwhile = fleet.configuration_of(0);
+    fleet.schedule.world.cuts.clear();
+    fleet.join_frontends();
+    fleet.quietly(ms(3_000));
+    assert_eq!(fleet.broken().filter(|_| fault.is_none()), None);
+    (meanwhile, fleet.configuration_of(0))
+}
+
+#[test]
+fn an_agent_that_starts_beside_a_cut_off_coordinator_is_told_nothing_old() {
+    for place in 0..3 {
+        assert_eq!(told_beside_a_cut_off_coordinator(place, None), (0, 10), "place {place} in the chain");
+    }
+    let fault = Some(PlantedFault::HandsOutUnproven);
+    assert_eq!(told_beside_a_cut_off_coordinator(0, fault).0, 1, "the planted fault is noticed");
+}
+
+/// The head stands still with questions of nodes and answers to them in its hands; another one grants meanwhile.
+#[test]
+fn limits_hold_while_one_grantor_wakes_up_beside_another() {
+    for moment in 0..20 {
+        let mut fleet = calm(None);
+        fleet.press(3.0);
+        fleet.quietly(ms(2_000 + 13 * moment));
+        let head = fleet.schedule.world.head().expect("a head");
+        fleet.schedule.world.freeze(head, ms(4_000 + 100 * moment));
+        fleet.quietly(ms(15_000));
+        assert_eq!(fleet.broken(), None, "moment {moment}");
+    }
+}
+
+/// The head is cut off from the others for 20 s, and half of the frontends reach only it, the rest only the others.
+fn limit_while_the_head_is_cut_off(fault: Option<PlantedFault>) -> Option<String> {
+    let mut fleet = calm(fault);
+    fleet.press(3.0);
+    fleet.quietly(ms(9_000));
+    let head = fleet.schedule.world.head().expect("a head");
+    fleet.schedule.world.cut_off(head);
+    for frontend in 0..FRONTENDS {
+        let reaches_head = frontend < FRONTENDS / 2;
+        for machine in (0..3).filter(|machine| (*machine == head) != reaches_head) {
+            fleet.cut_frontend(frontend, machine);
+        }
+    }
+    fleet.quietly(Duration::from_secs(20));
+    // The cut heals: what the old grantor gave and what the new one gives must fit too.
+    fleet.schedule.world.cuts.clear();
+    fleet.join_frontends();
+    fleet.quietly(Duration::from_secs(12));
+    fleet.broken()
+}
+
+#[test]
+fn limits_hold_while_a_grantor_is_cut_off() {
+    assert_eq!(limit_while_the_head_is_cut_off(None), None);
+}
+
+#[test]
+fn a_grantor_that_does_not_look_whether_it_is_the_head_still_would_be_noticed() {
+    let broken = limit_while_the_head_is_cut_off(Some(PlantedFault::GrantsForEver));
+    assert!(broken.is_some_and(|broken| broken.contains("admitted in a window")));
+}
--- a/crates/replication/tests/simulation/checker.rs
+++ b/crates/replication/tests/simulation/checker.rs
@@ -22,7 +22,7 @@
 }
 
 impl Checker {
-    fn fail(&mut self, text: String) {
+    pub fn fail(&mut self, text: String) {
         self.broken.get_or_insert(text);
     }
 
@@ -33,7 +33,7 @@
     }
 
     /// The highest sequence that had been seen before `time`.
-    fn seen_before(&self, time: Duration) -> u64 {
+    pub fn seen_before(&self, time: Duration) -> u64 {
         let count = self.seen.partition_point(|(at, _)| *at < time);
         count.checked_sub(1).map_or(0, |last| self.seen[last].1)
     }
--- a/crates/replication/tests/simulation/schedule.rs
+++ b/crates/replication/tests/simulation/schedule.rs
@@ -16,7 +16,8 @@
 /// The same where more was lost at once than is tolerated.
 const RECOVERED_FROM_OVERLAP: Duration = Duration::from_millis(12_000);
 
-const STEP: Duration = Duration::from_millis(20);
+/// How far a step goes.
+pub const STEP: Duration = Duration::from_millis(20);
 
 /// Something that ends.
 enum Ending {
@@ -119,7 +120,8 @@
         self.settle();
     }
 
-    fn step(&mut self, troubles: bool) {
+    /// Plays [`STEP`], with or without new troubles.
+    pub fn step(&mut self, troubles: bool) {
         self.world.run_until(self.world.now + STEP);
         self.end_what_is_over();
         if self.disks_lost > 0 && self.all_count() && self.world.whole() {
@@ -392,12 +394,20 @@
     }
 
     /// Heals everything; all must be in the chain again, a change be taken, and every machine read it.
+    /// Whether all troubles are over. The network is good from then on.
+    pub fn is_calm(&mut self) -> bool {
+        let is_calm = self.world.now >= self.calm_at;
+        if is_calm {
+            (self.world.loss, self.world.doubled, self.world.late) = (0, 0, 0);
+        }
+        is_calm
+    }
+
     fn settle(&mut self) {
         self.tell("heal".into());
-        while self.world.now < self.calm_at && self.world.checker.broken.is_none() {
+        while !self.is_calm() && self.world.checker.broken.is_none() {
             self.step(false);
         }
-        (self.world.loss, self.world.doubled, self.world.late) = (0, 0, 0);
         let taken = self.world.checker.taken;
         let end = self.world.now + if self.overlaps { RECOVERED_FROM_OVERLAP } else { RECOVERED };
         while self.world.now < end && self.world.checker.broken.is_none() {
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use replication::{
-    Answer, CallId, Change, Fault, Input, MemberId, Message, Output, Replica, Settings, TICK, View,
+    Answer, CallId, Change, Entry, Fault, Input, MemberId, Message, Output, Replica, Settings, TICK, View,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -25,8 +25,8 @@
     held: Vec<Input>,
     pub removed: bool,
     pub bootstrap: bool,
-    /// The newest sequence told as committed in this life.
-    announced: u64,
+    /// The newest entry told as committed in this life.
+    pub newest: Option<Entry>,
     /// Since when it has been without any trouble.
     pub calm_since: Duration,
 }
@@ -74,6 +74,8 @@
     pub late: u32,
     last_arrival: BTreeMap<(SocketAddrV4, SocketAddrV4), Duration>,
     pub operators: Operators,
+    /// Questions of coordinators themselves for the newest sequence, and what was answered. Nobody sends them again.
+    pub proofs: BTreeMap<CallId, Option<Answer>>,
     pub checker: Checker,
     /// A deliberate fault of all replicas that start from now on.
     pub fault: Option<Fault>,
@@ -109,6 +111,7 @@
             late: 0,
             last_arrival: BTreeMap::new(),
             operators: Operators::default(),
+            proofs: BTreeMap::new(),
             checker: Checker::default(),
             fault: None,
             sync: ms(2),
@@ -135,7 +138,7 @@
             held: Vec::new(),
             removed: false,
             bootstrap,
-            announced: 0,
+            newest: None,
             calm_since: self.now,
         });
         let delay = self.random.random_range(0..300);
@@ -311,7 +314,7 @@
         };
         let records = started.disk.read();
         started.life += 1;
-        started.announced = 0;
+        started.newest = None;
         started.calm_since = self.now;
         let life = started.life;
         let seed = self.random.random();
@@ -351,11 +354,12 @@
                 Output::Answer(call, answer) => self.answered(call, &answer),
                 Output::Committed(entry) => {
                     let who = self.machines[machine].address.to_string();
-                    if entry.sequence <= self.machines[machine].announced {
+                    let newest = &mut self.machines[machine].newest;
+                    if newest.as_ref().is_some_and(|newest| entry.sequence <= newest.sequence) {
                         self.checker.broken.get_or_insert(format!("{who} goes back to {}", entry.sequence));
                     }
-                    self.machines[machine].announced = entry.sequence;
                     self.checker.committed(self.now, &who, &entry);
+                    *newest = Some(entry);
                 }
                 Output::ViewChanged(view) => self.view_changed(machine, &view),
             }
@@ -461,7 +465,19 @@
         call
     }
 
+    /// Has a coordinator ask for the sequence of the newest entry. The answer is found in [`World::proofs`].
+    pub fn prove(&mut self, machine: usize) -> CallId {
+        let call = self.operators.call();
+        self.proofs.insert(call, None);
+        self.tell(machine, Input::Prove(call));
+        call
+    }
+
     fn answered(&mut self, call: CallId, answer: &Answer) {
+        if let Some(proof) = self.proofs.get_mut(&call) {
+            *proof = Some(answer.clone());
+            return;
+        }
         let Some(job) = self.operators.open.remove(&call) else { return };
         if *answer == Answer::Unclear || job.answer_lost {
             self.operators.open.insert(call, Job { answer_lost: true, ..job });
