--- a/crates/marlwinch/tests/data_plane_endings.rs
+++ b/crates/marlwinch/tests/data_plane_endings.rs
@@ -130,7 +130,9 @@
         let (_, mut peer) = taken(&there, &mut Vec::new());
         peer.write(stream("r-1") + &chunk(&event(1)));
         let (all, _) = client.read_to_end();
-        assert!(begun.elapsed() >= Duration::from_millis(380), "{line}: not before its time");
+        let took = begun.elapsed();
+        assert!(took >= Duration::from_millis(380), "{line}: not before its time, {took:?}");
+        assert!(took < Duration::from_secs(2), "{line}: not long after it, {took:?}");
         assert!(!String::from_utf8_lossy(&all).ends_with("0\r\n\r\n"), "{line}: it does not look complete");
         peer.expect_end();
     }
--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -1,14 +1,15 @@
 #!/usr/bin/env python3
 """Draws days of trouble for the control side, for a bench that plays days from TOML files.
 
-    draw.py SEED [SECONDS] > day.toml
+    draw.py SEED [--seconds SECONDS] [--waves WAVES] > day.toml
 
-Two to four troubles of the control side overlap, beside one or two of the rest, and often a final fault. The same seed draws the same
-day. SECONDS is how long traffic lasts (34).
+Two to four troubles of the control side overlap, beside one or two of the rest, and often a final fault. The same arguments draw the
+same day. SECONDS is how long traffic lasts (34). With WAVES (1 to 4) there are that many such groups, one after the other, their
+troubles of all variants that the bench tells of, and changes of the configuration in each.
 """
 
+import argparse
 import random
-import sys
 
 WHO = ["", "leader", "turn", "reader", "seed"]
 MEETS = ["", "meet", "race", "hard", "drain", "race drain", "meet drain"]
@@ -89,6 +90,62 @@
     return fault
 
 
+def any_variant(draw):
+    """One trouble of the control side, of any variant and without its time."""
+    span = round(draw.choice([draw.uniform(0.2, 2.0), draw.uniform(2.0, 7.0), 20.0]), 2)
+    after = join(draw.choice(["", "meet", "race"]), draw.choice(["", "hard"]), draw.choice(["", "drain"]))
+    kinds = [
+        lambda: dict(kind="node_kill", on="core", count=draw.randint(1, 2), for_s=span, how=join(draw.choice(["", "power"]), draw.choice(WHO), after)),
+        lambda: dict(kind="core_cut", count=1, for_s=span, how=join(draw.choice(WHO), draw.choice(["", "one_way", "reset", "refuse"]), after)),
+        lambda: dict(kind="core_cut", count=draw.randint(1, 2), for_s=min(span, 8.0), how=draw.choice(["behind", "all", "near", "oldest", "seeds", "both", "lure", "relieve"])),
+        lambda: dict(kind="core_cut", for_s=min(span, 7.0), how="split"),
+        lambda: dict(kind="node_freeze", on="core", count=1, for_s=min(span, 9.0), how=join(draw.choice(WHO), after)),
+        lambda: dict(kind="node_slow", on="core", count=1, x=draw.choice([4, 10, 25]), for_s=span),
+        lambda: dict(kind="replace_core", x=round(draw.uniform(0, 4), 1), how=join(draw.choice(["", "planned", "oldest", "seed", "leader"]))),
+        lambda: dict(kind="after_ack_wipe", for_s=round(draw.uniform(0.3, 4), 1), how=draw.choice(["", "oldest"])),
+        lambda: dict(kind="after_ack_kill", count=draw.randint(1, 2), for_s=round(draw.uniform(0.3, 3), 1), how=draw.choice(["", "kill", "timed"])),
+        lambda: dict(kind="herd_kill", on="core", how=draw.choice(["", "off", "power", "taken", "taken all"]), for_s=round(draw.uniform(0.2, 3), 1)),
+        lambda: dict(kind="herd_kill", share=1.0, how=draw.choice(["", "power"]), for_s=round(draw.uniform(0.2, 2), 1)),
+        lambda: dict(kind="disk_full", count=draw.randint(1, 2), for_s=span),
+        lambda: dict(kind="disk_stall", count=1, for_s=min(span, 8.0)),
+        lambda: dict(kind="disk_slow", count=draw.randint(1, 3), x=draw.choice([10, 40, 100]), for_s=span),
+        lambda: dict(kind="clock_step", share=round(draw.uniform(0.2, 1), 2), x=draw.choice([500, 2400, 9000]), for_s=span, how=draw.choice(["back", "ahead"])),
+        lambda: dict(kind="reset_conns", share=round(draw.uniform(0.3, 1), 2), x=round(draw.uniform(0.3, 1), 2)),
+        lambda: dict(kind="seed_turnover"),
+        lambda: dict(kind="roll_term", on="core", share=1.0, x=1.0, gap_s=round(draw.uniform(0.8, 5), 1), how=draw.choice(["", "remove"])),
+        lambda: dict(kind="node_cut", share=round(draw.uniform(0.2, 1), 2), for_s=min(span, 8.0), how=draw.choice(["", "all", "servers"])),
+        lambda: dict(kind="hup", share=1.0, gap_s=0.5),
+    ]
+    return draw.choice(kinds)()
+
+
+def change(draw):
+    """What operators do in the middle of a wave."""
+    kinds = [
+        lambda: dict(kind="config_storm", for_s=round(draw.uniform(2, 9), 1), gap_s=round(draw.uniform(0.05, 0.5), 2)),
+        lambda: dict(kind="config_race", count=draw.randint(2, 8), gap_s=round(draw.uniform(0.2, 1), 1)),
+        lambda: dict(kind="ack_lost", x=round(draw.uniform(0.5, 1), 2), for_s=round(draw.uniform(3, 10), 1)),
+        lambda: dict(kind="config_change", how=draw.choice(["route", "weights", "timeout", "tenant", "quota", "quota down", "topup", "idle"])),
+        lambda: dict(kind="revoke", count=draw.randint(1, 3), gap_s=0.7, how=draw.choice(["", "last"])),
+        lambda: dict(kind="bad_config", count=draw.randint(1, 4), gap_s=0.4, how=draw.choice(["", "old_version", "same_version", "stale_match", "cut_short", "shared_key"])),
+    ]
+    return draw.choice(kinds)()
+
+
+def waves(draw, length, count):
+    """Plan and faults of a day with so many groups of overlapping troubles."""
+    faults, plan = [], []
+    for number in range(count):
+        centre = length * 0.75 * (number + draw.uniform(0.2, 0.9)) / count
+        for _ in range(draw.randint(2, 4)):
+            faults.append(dict(at=round(max(0.3, centre + draw.uniform(-1.5, 3)), 2), **any_variant(draw)))
+        for _ in range(draw.randint(1, 3)):
+            plan.append(dict(at=round(max(0.3, centre + draw.uniform(-2, 3)), 2), **change(draw)))
+        if draw.random() < 0.5:
+            faults.append(dict(at=round(max(0.3, centre + draw.uniform(-2, 3)), 2), **other_trouble(draw)))
+    return plan, faults
+
+
 def value(item):
     return f'"{item}"' if isinstance(item, str) else str(item)
 
@@ -98,10 +155,8 @@
     return "{ " + ", ".join(f"{name} = {value(item)}" for name, item in kept.items()) + " }"
 
 
-def main():
-    seed = int(sys.argv[1])
-    length = float(sys.argv[2]) if len(sys.argv) > 2 else 34.0
-    draw = random.Random(seed)
+def group(draw, length):
+    """Plan and faults of a day with one group of overlapping troubles."""
     centre = draw.uniform(4, length * 0.55)
     faults, plan = [], []
     for _ in range(draw.randint(2, 4)):
@@ -110,7 +165,21 @@
         plan.append(dict(at=round(max(0.5, centre + draw.uniform(-3, 5)), 2), **operators_trouble(draw)))
     for _ in range(draw.randint(0, 2)):
         faults.append(dict(at=round(draw.uniform(1, length * 0.7), 2), **other_trouble(draw)))
-    print(f'name = "drawn-{seed}"\nslot = "trouble"\nseed = {seed}\none = 0.9\nzero = 0.4\ngoal = {{ floor = 0.0 }}')
+    return plan, faults
+
+
+def main():
+    parser = argparse.ArgumentParser(description="Draws a day of trouble for the control side.")
+    parser.add_argument("seed", type=int)
+    parser.add_argument("--seconds", type=float, default=34.0, help="how long traffic lasts (34)")
+    parser.add_argument("--waves", type=int, choices=range(1, 5), help="groups of overlapping troubles, of all variants")
+    arguments = parser.parse_args()
+    draw = random.Random(arguments.seed)
+    if arguments.waves:
+        plan, faults = waves(draw, arguments.seconds, arguments.waves)
+    else:
+        plan, faults = group(draw, arguments.seconds)
+    print(f'name = "drawn-{arguments.seed}"\nslot = "trouble"\nseed = {arguments.seed}\none = 0.9\nzero = 0.4\ngoal = {{ floor = 0.0 }}')
     print("labels = []\nwall = 3.0\nlight = false")
     fault = closing(draw)
     if fault:
