Draw doubled questions and answers of limits; find an attempt's answers in one place

Need: that an answer of a grantor which comes twice counts once had no test; promise and accepted looked up their attempt with the same lines, and three tests began a stream with the same lines. Replica::attempt_answered_by; begun() in data_plane_endings.rs.

--- a/crates/marlwinch/tests/data_plane_endings.rs
+++ b/crates/marlwinch/tests/data_plane_endings.rs
@@ -22,6 +22,16 @@
     (backends, plane)
 }
 
+/// A client's stream of which one event has come; where it is served, and the connection there.
+fn begun(backends: &[Listener; 2], plane: &Plane, line: &str) -> (Peer, usize, Peer) {
+    let mut client = plane.client();
+    client.write(request(line, "r-1", "", "x"));
+    let (at, _, mut peer) = taken_of(&[&backends[0], &backends[1]]);
+    peer.write(stream("r-1") + &chunk(&event(1)));
+    read_until(&mut client, "data: d1\n\n");
+    (client, at, peer)
+}
+
 /// Reads the next piece of a stream that holds this.
 fn read_until(peer: &mut Peer, end: &str) {
     use std::io::Read;
@@ -49,11 +59,7 @@
 fn a_client_that_leaves_its_stream_takes_the_work_along() {
     for line in [ASK, READ] {
         let (backends, plane) = two();
-        let mut client = plane.client();
-        client.write(request(line, "r-1", "", "x"));
-        let (_, _, mut peer) = taken_of(&[&backends[0], &backends[1]]);
-        peer.write(stream("r-1") + &chunk(&event(1)));
-        read_until(&mut client, "data: d1\n\n");
+        let (client, _, mut peer) = begun(&backends, &plane, line);
         drop(client);
         peer.expect_end();
         assert!(backends.iter().all(Listener::is_untouched), "{line}: nobody takes it up");
@@ -63,11 +69,7 @@
 #[test]
 fn a_client_that_leaves_a_stream_that_was_taken_up_takes_the_work_along() {
     let (backends, plane) = two();
-    let mut client = plane.client();
-    client.write(request(READ, "r-1", "", "x"));
-    let (at, _, mut first) = taken_of(&[&backends[0], &backends[1]]);
-    first.write(stream("r-1") + &chunk(&event(1)));
-    read_until(&mut client, "data: d1\n\n");
+    let (mut client, at, first) = begun(&backends, &plane, READ);
     drop(first);
     let (message, mut second) = taken(&backends[1 - at], &mut Vec::new());
     assert_eq!(message.header("last-event-id"), Some("1"));
@@ -82,11 +84,7 @@
 #[test]
 fn a_client_that_leaves_between_two_backends_takes_the_work_along() {
     let (backends, plane) = two();
-    let mut client = plane.client();
-    client.write(request(READ, "r-1", "", "x"));
-    let (at, _, mut first) = taken_of(&[&backends[0], &backends[1]]);
-    first.write(stream("r-1") + &chunk(&event(1)));
-    read_until(&mut client, "data: d1\n\n");
+    let (client, at, first) = begun(&backends, &plane, READ);
     drop(first);
     let (_, mut second) = taken(&backends[1 - at], &mut Vec::new());
     drop(client);
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -27,6 +27,7 @@
     }
 }
 
+#[derive(Clone)]
 enum Message {
     Demands(usize, QuotaQuestion),
     Allotments(usize, u64, QuotaAnswer),
@@ -75,6 +76,8 @@
     pub tenant: Tenant,
     /// The probability that a message gets lost.
     pub loss: f64,
+    /// The probability that a message comes twice.
+    pub doubled: f64,
     /// The longest time that a message takes.
     pub slowest: Duration,
     pub counts: Counts,
@@ -95,6 +98,7 @@
             epoch: 0,
             tenant,
             loss: 0.0,
+            doubled: 0.0,
             slowest: Duration::from_millis(15),
             counts: Counts::default(),
             questions: (0, 0),
@@ -213,6 +217,13 @@
         if self.rng.random_bool(self.loss) {
             return;
         }
+        if self.doubled > 0.0 && self.rng.random_bool(self.doubled) {
+            self.put_under_way(message.clone());
+        }
+        self.put_under_way(message);
+    }
+
+    fn put_under_way(&mut self, message: Message) {
         let longest = self.slowest.as_secs_f64();
         let takes = Duration::from_secs_f64(self.rng.random_range(0.002..longest.max(0.003)));
         self.under_way.push((self.now + takes, message));
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -264,12 +264,13 @@
     troubles(Fleet::new(NODES, tenant(rate, Unit::Tokens), rng), rate)
 }
 
-/// The same, but a few nodes get most of the requests.
+/// The same, but a few nodes get most of the requests, and on some days questions and answers come twice.
 fn uneven_day_of_faults(seed: u64) -> f64 {
     let mut rng = Pcg64::seed_from_u64(seed);
     let rate = [80_000.0, 170_000.0, 600_000.0][rng.random_range(0..3)];
     let mut fleet = Fleet::new(NODES, tenant(rate, Unit::Tokens), rng);
     fleet.weights = (0..NODES).map(|_| if fleet.rng.random_bool(0.3) { 20.0 } else { 1.0 }).collect();
+    fleet.doubled = [0.0, 0.3][fleet.rng.random_range(0..2)];
     troubles(fleet, rate)
 }
 
--- a/crates/replication/src/voting.rs
+++ b/crates/replication/src/voting.rs
@@ -184,16 +184,17 @@
         }
     }
 
+    /// The attempt under way, if a voter's answer is for it.
+    fn attempt_answered_by(&mut self, sender: MemberId, slot: u64, ballot: Ballot) -> Option<&mut Attempt> {
+        if !self.is_voter(sender) {
+            return None;
+        }
+        self.attempt.as_mut().filter(|own| own.slot == slot && own.ballot == ballot)
+    }
+
     pub(crate) fn promise(&mut self, sender: MemberId, slot: u64, ballot: Ballot, promised: Promised) {
         let majority = self.majority();
-        let voter = self.is_voter(sender);
-        let Some(attempt) = self.attempt.as_mut().filter(|own| own.slot == slot && own.ballot == ballot)
-        else {
-            return;
-        };
-        if !voter {
-            return;
-        }
+        let Some(attempt) = self.attempt_answered_by(sender, slot, ballot) else { return };
         let rescue = attempt.rescue;
         let proposed = match attempt.promised(sender, promised, majority) {
             Prepared::Waiting => return,
@@ -218,14 +219,7 @@
 
     pub(crate) fn accepted(&mut self, sender: MemberId, slot: u64, ballot: Ballot) {
         let majority = self.majority();
-        let voter = self.is_voter(sender);
-        let Some(attempt) = self.attempt.as_mut().filter(|own| own.slot == slot && own.ballot == ballot)
-        else {
-            return;
-        };
-        if !voter {
-            return;
-        }
+        let Some(attempt) = self.attempt_answered_by(sender, slot, ballot) else { return };
         if let Some(view) = attempt.accepted(sender, majority) {
             self.decide(view);
         }
