--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -1,11 +1,12 @@
 #!/usr/bin/env python3
 """Draws days of trouble for the control side, for a bench that plays days from TOML files.
 
-    draw.py SEED [--seconds SECONDS] [--waves WAVES] > day.toml
+    draw.py SEED [--seconds SECONDS] [--waves WAVES | --ending] > day.toml
 
 Two to four troubles of the control side overlap, beside one or two of the rest, and often a final fault. The same arguments draw the
 same day. SECONDS is how long traffic lasts (34). With WAVES (1 to 4) there are that many such groups, one after the other, their
-troubles of all variants that the bench tells of, and changes of the configuration in each.
+troubles of all variants that the bench tells of, and changes of the configuration in each. With --ending one such group lies in the
+last seconds, and the day ends with lost disks, so that these are lost in the middle of a repair.
 """
 
 import argparse
@@ -81,8 +82,11 @@
 
 def closing(draw):
     kind = draw.choice(["power_off_all", "wipe_after_ack", "wipe_after_ack", "kill_all", None])
-    if kind is None:
-        return None
+    return None if kind is None else closing_of(draw, kind)
+
+
+def closing_of(draw, kind):
+    """The fault at a day's end."""
     fault = dict(kind=kind, down_s=round(draw.uniform(0.3, 2.0), 2))
     how = draw.choice(["", "timed", "taken", "oldest"])
     if how:
@@ -137,15 +141,27 @@
     faults, plan = [], []
     for number in range(count):
         centre = length * 0.75 * (number + draw.uniform(0.2, 0.9)) / count
-        for _ in range(draw.randint(2, 4)):
-            faults.append(dict(at=round(max(0.3, centre + draw.uniform(-1.5, 3)), 2), **any_variant(draw)))
-        for _ in range(draw.randint(1, 3)):
-            plan.append(dict(at=round(max(0.3, centre + draw.uniform(-2, 3)), 2), **change(draw)))
-        if draw.random() < 0.5:
-            faults.append(dict(at=round(max(0.3, centre + draw.uniform(-2, 3)), 2), **other_trouble(draw)))
+        add_wave(draw, centre, faults, plan)
+    return plan, faults
+
+
+def ending(draw, length):
+    """Plan and faults of a day whose troubles lie in its last seconds."""
+    faults, plan = [], []
+    add_wave(draw, length - draw.uniform(1.0, 8.0), faults, plan)
     return plan, faults
 
 
+def add_wave(draw, centre, faults, plan):
+    """Adds overlapping troubles and changes around a moment."""
+    for _ in range(draw.randint(2, 4)):
+        faults.append(dict(at=round(max(0.3, centre + draw.uniform(-1.5, 3)), 2), **any_variant(draw)))
+    for _ in range(draw.randint(1, 3)):
+        plan.append(dict(at=round(max(0.3, centre + draw.uniform(-2, 3)), 2), **change(draw)))
+    if draw.random() < 0.5:
+        faults.append(dict(at=round(max(0.3, centre + draw.uniform(-2, 3)), 2), **other_trouble(draw)))
+
+
 def value(item):
     return f'"{item}"' if isinstance(item, str) else str(item)
 
@@ -172,16 +188,20 @@
     parser = argparse.ArgumentParser(description="Draws a day of trouble for the control side.")
     parser.add_argument("seed", type=int)
     parser.add_argument("--seconds", type=float, default=34.0, help="how long traffic lasts (34)")
-    parser.add_argument("--waves", type=int, choices=range(1, 5), help="groups of overlapping troubles, of all variants")
+    variants = parser.add_mutually_exclusive_group()
+    variants.add_argument("--waves", type=int, choices=range(1, 5), help="groups of overlapping troubles, of all variants")
+    variants.add_argument("--ending", action="store_true", help="troubles in the last seconds, then lost disks")
     arguments = parser.parse_args()
     draw = random.Random(arguments.seed)
     if arguments.waves:
         plan, faults = waves(draw, arguments.seconds, arguments.waves)
+    elif arguments.ending:
+        plan, faults = ending(draw, arguments.seconds)
     else:
         plan, faults = group(draw, arguments.seconds)
     print(f'name = "drawn-{arguments.seed}"\nslot = "trouble"\nseed = {arguments.seed}\none = 0.9\nzero = 0.4\ngoal = {{ floor = 0.0 }}')
     print("labels = []\nwall = 3.0\nlight = false")
-    fault = closing(draw)
+    fault = closing_of(draw, "wipe_after_ack") if arguments.ending else closing(draw)
     if fault:
         print(f"closing = {table(fault)}")
     print("plan = [\n" + "".join(f"  {table(entry)},\n" for entry in plan) + "]")
