--- a/crates/marlwinch/tests/overload.rs
+++ b/crates/marlwinch/tests/overload.rs
@@ -137,6 +137,8 @@
 #[test]
 fn plain_boxes_are_used_from_the_first_second_as_round_robin_would() {
     const LENGTH: Duration = Duration::from_secs(6);
+    /// What the node may add after the first second to all but one answer in a hundred, however long services take.
+    const MOST_ADDED: Duration = Duration::from_millis(90);
     let script = "[[box]]\nname = \"b\"\ncount = 3\ncores = 1000\nservice = { fixed = \"180ms\" }\n";
     let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.toml");
     let mut text =
@@ -166,6 +168,13 @@
         assert!(served as f64 >= 0.85 * best as f64, "{served} served, round robin {best}");
         let (ours, theirs) = (p99(&seen), p99(&direct));
         assert!(ours <= theirs * 2 + Duration::from_millis(50), "p99 {ours:?}, round robin {theirs:?}");
+        // The first burst waits for one service while the node learns what the boxes hold; later nothing does.
+        let settled = |one: &&Seen| one.at > Duration::from_secs(1);
+        let later: Vec<Vec<Seen>> =
+            seen.iter().map(|of_one| of_one.iter().filter(settled).cloned().collect()).collect();
+        let ours = p99(&later);
+        println!("p99 after the first second {ours:?}, round robin {theirs:?}");
+        assert!(ours <= theirs + MOST_ADDED, "p99 {ours:?} after the first second, round robin {theirs:?}");
     }
 }
 
