Read the list of backends at once where those whose turn it is are not heard

Cause: without a list each coordinator waited 150 ms for each one before it in the order, whether it was up or not.

Change: 15 ms for each one before it that is not heard, 150 ms for one that is heard and so is about to read.

Ruled out: reading at once everywhere: each read is priced and the platform takes few calls a second.

Test: without_a_list_nobody_waits_long_for_one_that_is_not_heard.

--- a/crates/control/src/coordinator/backends/succession.rs
+++ b/crates/control/src/coordinator/backends/succession.rs
@@ -8,8 +8,11 @@
 
 /// How often the list is read.
 pub const READ_EVERY: Duration = Duration::from_millis(700);
-/// How much later each coordinator reads for the first time than the one before it, where none has told a list.
+/// How much later a coordinator reads for the first time, where none has told a list, for each one before it that is heard and
+/// so is about to read.
 const FIRST_READ_AFTER: Duration = Duration::from_millis(150);
+/// The same for each one before it that is not heard: after a loss of power it may not be back for long.
+const FIRST_READ_AFTER_UNHEARD: Duration = Duration::from_millis(15);
 /// The longest wait after reads that failed. A drain has to come through soon after the platform is back.
 const LONGEST_WAIT: Duration = Duration::from_millis(1400);
 /// The bits of a version that tell the reader, so that no two readers give the same version to two lists.
@@ -100,7 +103,7 @@
         let wait = if self.behind {
             Duration::ZERO
         } else if self.backends.is_none() {
-            FIRST_READ_AFTER * (self.ahead().count() as u32 + 1)
+            self.first_read_after(is_heard)
         } else if self.reader == Some(self.own) {
             self.interval
         } else {
@@ -109,6 +112,11 @@
         Some((self.read_at + wait).max(self.not_before))
     }
 
+    fn first_read_after(&self, is_heard: impl Fn(SocketAddrV4) -> bool) -> Duration {
+        let (heard, unheard): (Vec<_>, Vec<_>) = self.ahead().partition(|peer| is_heard(*peer));
+        FIRST_READ_AFTER * heard.len() as u32 + FIRST_READ_AFTER_UNHEARD * (unheard.len() as u32 + 1)
+    }
+
     /// A read begins: its version. One that takes over leaves a version out: the reader before may be halted in a read that it
     /// began under the next version, and what it saw is older than what is read now.
     pub fn begin(&mut self) -> u64 {
--- a/crates/control/tests/succession.rs
+++ b/crates/control/tests/succession.rs
@@ -59,6 +59,21 @@
     assert!(waits[0] < waits[1] && waits[1] < waits[2] && waits[2] < READ_EVERY, "{waits:?}");
 }
 
+#[test]
+fn without_a_list_nobody_waits_long_for_one_that_is_not_heard() {
+    let [first, _, third] = three();
+    let wait = |succession: &Succession, is_heard: fn(SocketAddrV4) -> bool| {
+        succession.due(is_heard).expect("due") - START
+    };
+    assert!(wait(&third, |_| false) <= Duration::from_millis(50), "both before it are without power");
+    assert!(
+        wait(&third, |peer| peer == address(1)) >= Duration::from_millis(150),
+        "one of them reads by then"
+    );
+    assert!(wait(&third, everybody) > wait(&third, |peer| peer == address(1)));
+    assert_eq!(wait(&first, everybody), wait(&first, |_| false));
+}
+
 #[test]
 fn the_first_reads_and_the_others_wait_longer_by_their_rank() {
     let [first, second, third] = three_with_a_list();
