Close a connection behind an answer that outlasts the farewell

Change: once nobody is accepted any more, connections with an answer under way are closed as soon as that has ended.

Ruled out: closing them at SIGTERM: until the platform has seen two misses clients still come, and a new connection costs them more.

Test: a_stream_that_outlasts_the_farewell_is_the_last_on_its_connection fails without it.

--- a/crates/marlwinch/src/clients/connections.rs
+++ b/crates/marlwinch/src/clients/connections.rs
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Closes what has been idle for long, and what has an answer under way once that has ended: a client whose answer ends
+    /// just before the process does would send its next request into a connection that nobody serves to its end.
+    pub fn close_after_answers(&self, idle_for: Duration) {
+        for state in self.open.borrow().values() {
+            let is_busy = state.idle_since.get().is_none();
+            if is_busy || state.idle_for(idle_for) {
+                state.close();
+            }
+        }
+    }
+
     /// Lets all answers under way end in time.
     pub fn end_streams(&self, at: Instant) {
         self.open.borrow().values().filter_map(|state| state.stream.borrow().clone()).for_each(|s| s.by(at));
--- a/crates/marlwinch/src/data_plane/intake.rs
+++ b/crates/marlwinch/src/data_plane/intake.rs
@@ -80,7 +80,7 @@
     farewell(node, &connections, &listener, told + FAREWELL.min(last / 2)).await;
     drop(listener);
     while !connections.open.borrow().is_empty() && told.elapsed() < last {
-        connections.close_idle(AFTER_FAREWELL);
+        connections.close_after_answers(AFTER_FAREWELL);
         sleep(LOOK_EVERY).await;
     }
     log::info!("ends with {} connections open", connections.open.borrow().len());
--- a/crates/marlwinch/tests/data_plane_endings.rs
+++ b/crates/marlwinch/tests/data_plane_endings.rs
@@ -240,3 +240,28 @@
         plane.join();
     }
 }
+
+/// A stream whose head went out before the data plane was told to end, and which ends once nobody is accepted any more: what
+/// its client sends next would be cut as the process ends, so that nothing more is read from there.
+#[test]
+fn a_stream_that_outlasts_the_farewell_is_the_last_on_its_connection() {
+    const FAREWELL_OVER: Duration = Duration::from_millis(900);
+    let there = Listener::new();
+    let mut plane = Plane::empty(settings("bounds: {grace_s: 2}\n"));
+    plane.list(&listed(&[&there]));
+    plane.configure(&configuration(|_| {}));
+    let mut client = plane.client();
+    client.write(request(ASK, "r-1", "", "x"));
+    let (_, mut peer) = taken(&there, &mut Vec::new());
+    peer.write(stream("r-1") + &chunk(&event(1)));
+    read_until(&mut client, "data: d1\n\n");
+    plane.terminate();
+    let_pass(&plane, FAREWELL_OVER);
+    peer.write("0\r\n\r\n");
+    read_until(&mut client, "0\r\n\r\n");
+    let _ = std::io::Write::write_all(&mut client.stream, request(ORDER, "r-2", "", "x").as_bytes());
+    let (more, _) = client.read_to_end();
+    assert_eq!(more, b"", "nothing is answered there");
+    assert!(peer.try_read().is_none() && there.is_untouched(), "nor passed on");
+    plane.join();
+}
