--- a/crates/control/src/agent/mod.rs
+++ b/crates/control/src/agent/mod.rs
@@ -21,6 +21,7 @@
 pub use main_loop::Agent;
 
 use crate::metrics::MetricsAt;
+use crate::process::RoleOptions;
 use crate::{link, process};
 use boot::{Settings, Watcher};
 use std::net::SocketAddrV4;
@@ -39,8 +40,8 @@
 const WITHOUT_PROXY: Duration = Duration::from_millis(500);
 
 /// Runs until told to end.
-pub fn run(settings: Settings, metrics: Option<MetricsAt>) -> ExitCode {
-    process::run("agent", serve(settings, metrics))
+pub fn run(settings: Settings, options: RoleOptions) -> ExitCode {
+    process::run("agent", serve(settings, options.metrics))
 }
 
 async fn serve(settings: Settings, metrics: Option<MetricsAt>) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -19,8 +19,7 @@
 pub mod status;
 pub mod storage;
 
-use crate::metrics::MetricsAt;
-use crate::process;
+use crate::process::{self, RoleOptions};
 use boot::Settings;
 use metrics::CoordinatorFigures;
 use node::{Running, StartError};
@@ -38,9 +37,9 @@
 const OPEN_AGAIN: Duration = Duration::from_millis(250);
 
 /// Runs until told to end.
-pub fn run(settings: Settings, metrics: Option<MetricsAt>) -> ExitCode {
+pub fn run(settings: Settings, options: RoleOptions) -> ExitCode {
     end_on_failed_assertion();
-    process::run("coordinator", serve(settings, metrics))
+    process::run("coordinator", serve(settings, options))
 }
 
 /// Ends the process where an assertion fails: with two histories, or a state that does not fit together, it must neither answer
@@ -54,7 +53,7 @@
     }));
 }
 
-async fn serve(settings: Settings, metrics: Option<MetricsAt>) -> Result<(), Box<dyn std::error::Error>> {
+async fn serve(settings: Settings, options: RoleOptions) -> Result<(), Box<dyn std::error::Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     let data = settings.data_dir.clone().ok_or(StartError::Missing("data_dir"))?;
@@ -64,9 +63,9 @@
     };
     log::info!("coordinator of {} starts with {} records on disk", settings.node_name, records.len());
     configuration::prepare();
-    let mut running = Running::start(&settings, log, records, seed())?;
+    let mut running = Running::start_with_policy(&settings, &options.policy, log, records, seed())?;
     let figures = Arc::new(CoordinatorFigures::new(running.node()));
-    crate::metrics::start(settings.ip, metrics.as_ref(), figures);
+    crate::metrics::start(settings.ip, options.metrics.as_ref(), figures);
     let mut file = std::env::var_os(boot::PATH_VARIABLE).map(|path| SettingsFile::new(path.into()));
     let mut looks = tokio::time::interval(settings_file::LOOK_EVERY);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/control/src/coordinator/node.rs
+++ b/crates/control/src/coordinator/node.rs
@@ -14,6 +14,7 @@
 use super::{accept, api};
 use crate::link::{self, LinkError};
 use boot::Settings;
+use policy::Policy;
 use quick_error::quick_error;
 use replication::{Answer, Entry, Input, Record, Replica, TICK, View};
 use std::net::SocketAddrV4;
@@ -32,7 +33,7 @@
 const AFTER_HAND_OVER: Duration = Duration::from_secs(2);
 
 /// How long after a question without an answer the majority is asked again.
-const PROVE_AGAIN: Duration = Duration::from_millis(100);
+const PROVE_AGAIN: Duration = Duration::from_millis(25);
 
 quick_error! {
     /// Why a coordinator does not start.
@@ -89,6 +90,17 @@
         log: Box<dyn Log>,
         records: Vec<Record>,
         seed: u64,
+    ) -> Result<Self, StartError> {
+        Running::start_with_policy(settings, &Policy::default(), log, records, seed)
+    }
+
+    /// The same, with a policy of its own.
+    pub fn start_with_policy(
+        settings: &Settings,
+        policy: &Policy,
+        log: Box<dyn Log>,
+        records: Vec<Record>,
+        seed: u64,
     ) -> Result<Self, StartError> {
         let control = settings.listen.control.ok_or(StartError::Missing("listen.control"))?;
         let own = settings.coordinator_address(settings.ip);
@@ -114,7 +126,7 @@
             peers,
             agents,
             backends,
-            quotas: Quotas::new(&settings.bounds),
+            quotas: Quotas::new(&settings.bounds, policy.limits),
             audits,
             counts: Counts::default(),
             clock,
--- a/crates/control/src/coordinator/quotas.rs
+++ b/crates/control/src/coordinator/quotas.rs
@@ -3,6 +3,7 @@
 use super::core::Standing;
 use boot::Bounds;
 use configuration::Tenant;
+use policy::Limits as LimitsPolicy;
 use protocol::{QuotaAnswer, QuotaQuestion};
 use quota::{Grantor, Terms};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -11,6 +12,7 @@
 /// The grantor and what it divides.
 pub struct Quotas {
     terms: Terms,
+    policy: LimitsPolicy,
     inner: Mutex<Inner>,
 }
 
@@ -25,10 +27,10 @@
 
 impl Quotas {
     /// Grants nothing yet. The figures of the rule are those of the settings.
-    pub fn new(bounds: &Bounds) -> Self {
+    pub fn new(bounds: &Bounds, policy: LimitsPolicy) -> Self {
         let terms =
             Terms { window_s: bounds.quota_window_s, over: bounds.quota_over, slack: bounds.quota_slack };
-        Quotas { terms, inner: Mutex::default() }
+        Quotas { terms, policy, inner: Mutex::default() }
     }
 
     /// This member's standing has changed: a grantor begins as it becomes the acting head, and ends as it is that no more.
@@ -38,7 +40,7 @@
         if !standing.acting_head {
             inner.grantor = None;
         } else if inner.grantor.is_none() {
-            inner.grantor = Some(Grantor::new(self.terms, now));
+            inner.grantor = Some(Grantor::with_policy(self.terms, self.policy, now));
             inner.numbers_from = numbers_from;
             inner.configure(now);
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,5 +6,4 @@
 pub mod coordinator;
 pub mod link;
 pub mod metrics;
-
-mod process;
+pub mod process;
--- a/crates/control/tests/agent.rs
+++ b/crates/control/tests/agent.rs
@@ -131,11 +131,24 @@
     let (mut tail, mut head) = (Coordinator::accept(&one).await, Coordinator::accept(&other).await);
     let mut proxy = Proxy::connect(agent.address, 0).await;
     let tenant = String::from("t");
-    let demand =
-        Demand { tenant: tenant.clone(), waiting: vec![9000.0], top_up: 0.0, continuing: 0.0, alone: 0.0 };
+    let demand = Demand {
+        tenant: tenant.clone(),
+        waiting: vec![9000.0],
+        top_up: 0.0,
+        continuing: 0.0,
+        alone: 0.0,
+        turned_away: 0.0,
+    };
     let question = QuotaQuestion { number: 1, answered: 0, answered_ms: 0, demands: vec![demand] };
-    let allotment =
-        Allotment { tenant, amount: 9000.0, continuing: 10.0, wait_ms: 0, left: 0.0, retry_ms: 0 };
+    let allotment = Allotment {
+        tenant,
+        amount: 9000.0,
+        continuing: 10.0,
+        wait_ms: 0,
+        left: 0.0,
+        retry_ms: 0,
+        pressure: 0.0,
+    };
     let answer = QuotaAnswer { question: 1, epoch: 2, number: 1, nodes: 8, allotments: vec![allotment] };
     tail.say(view(2, &[second, first]));
     tail.say(ToAgent::Available { sequence: 1 });
--- a/crates/control/tests/coordinators/main.rs
+++ b/crates/control/tests/coordinators/main.rs
@@ -366,7 +366,7 @@
         let mut agent = Agent::connect(machine, "frontend-1").await;
         agent.fetch(1).await;
         let (tenant, waiting) = ("t".to_string(), vec![1.0]);
-        let demand = Demand { tenant, waiting, top_up: 0.0, continuing: 0.0, alone: 0.0 };
+        let demand = Demand { tenant, waiting, top_up: 0.0, continuing: 0.0, alone: 0.0, turned_away: 0.0 };
         let question = QuotaQuestion { number: 1, answered: 0, answered_ms: 0, demands: vec![demand] };
         agent.say(&FromAgent::Demands(question));
         let answer = agent
--- a/crates/control/tests/one_world/fleet.rs
+++ b/crates/control/tests/one_world/fleet.rs
@@ -66,7 +66,7 @@
             available: 0,
             view: 0,
             in_touch: false,
-            quotas: Quotas::new(&bounds),
+            quotas: Quotas::new(&bounds, policy::Limits::default()),
             standing_told: Duration::ZERO,
         }
     }
--- a/crates/engine-model/examples/policies.rs
+++ b/crates/engine-model/examples/policies.rs
@@ -5,7 +5,7 @@
 use engine_model::{Kind, Site, Tally, Trouble, run};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use routing::Tuning;
+use routing::RoutingPolicy;
 
 fn choices() -> Vec<(&'static str, Kind)> {
     vec![
@@ -14,7 +14,7 @@
         ("join up to m", Kind::JoinUpTo),
         ("affinity", Kind::Affinity),
         ("all known", Kind::AllKnown),
-        ("routing", Kind::Routing(Tuning::default())),
+        ("routing", Kind::Routing(RoutingPolicy::default())),
     ]
 }
 
--- a/crates/engine-model/examples/tune.rs
+++ b/crates/engine-model/examples/tune.rs
@@ -5,7 +5,7 @@
 use engine_model::{Kind, Site, run};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use routing::Tuning;
+use routing::RoutingPolicy;
 
 /// What reading again a thousand tokens of shared parts costs, in worth.
 const READ_AGAIN: f64 = 0.19;
@@ -13,8 +13,8 @@
 const REPORT: f64 = 0.012;
 const THREADS: usize = 3;
 
-fn variant(words: &str) -> Tuning {
-    let mut tuning = Tuning::default();
+fn variant(words: &str) -> RoutingPolicy {
+    let mut tuning = RoutingPolicy::default();
     for word in words.split(',').filter(|word| !word.is_empty()) {
         let Some((name, value)) = word.split_once('=') else { panic!("NAME=VALUE, not {word}") };
         let value: f64 = value.parse().unwrap_or_default();
@@ -94,7 +94,7 @@
     let mut kinds: Vec<(String, Kind)> = vec![
         ("affinity".into(), Kind::Affinity),
         ("all known".into(), Kind::AllKnown),
-        ("default".into(), Kind::Routing(Tuning::default())),
+        ("default".into(), Kind::Routing(RoutingPolicy::default())),
     ];
     kinds.extend(words.map(|word| (word.clone(), Kind::Routing(variant(&word)))));
     println!(
--- a/crates/engine-model/src/choices.rs
+++ b/crates/engine-model/src/choices.rs
@@ -22,7 +22,7 @@
     /// Whoever would have read the prompt first: knows the true state of every backend at once, which nobody can.
     AllKnown,
     /// The one of `routing`, with these figures.
-    Routing(Tuning),
+    Routing(RoutingPolicy),
 }
 
 /// A choice at one node.
@@ -48,7 +48,7 @@
     /// One that knows no backends.
     pub fn new(kind: Kind, engine: Option<EngineSettings>, nodes: u32, seed: u64) -> Choice {
         if let Kind::Routing(tuning) = kind {
-            return Choice::Routing(Box::new(Service::with_tuning(engine, nodes, seed, tuning)));
+            return Choice::Routing(Box::new(Service::with_policy(engine, nodes, seed, tuning)));
         }
         let places = engine.map_or(1.0, |engine| f64::from(engine.slots) / f64::from(nodes));
         let random = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/engine-model/tests/plays.rs
+++ b/crates/engine-model/tests/plays.rs
@@ -3,9 +3,9 @@
 use engine_model::{Kind, Site, Tally, Trouble, run};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use routing::Tuning;
+use routing::RoutingPolicy;
 
-const ROUTING: fn() -> Kind = || Kind::Routing(Tuning::default());
+const ROUTING: fn() -> Kind = || Kind::Routing(RoutingPolicy::default());
 
 fn site(load: f64, trouble: Option<Trouble>) -> Site {
     let mut site = Site::usual(load);
--- a/crates/marlwinch/src/command/system.rs
+++ b/crates/marlwinch/src/command/system.rs
@@ -6,6 +6,8 @@
 use boot::Settings;
 use bpaf::{Bpaf, Parser, long};
 use control::metrics::MetricsAt;
+use control::process::RoleOptions;
+use policy::Policy;
 use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -15,17 +17,17 @@
 const LOG_VARIABLE: &str = "MARLWINCH_LOG";
 
 /// A command of the system.
-#[derive(Clone, Debug, PartialEq, Bpaf)]
+#[derive(Clone, Debug, Bpaf)]
 pub enum Command {
     /// Serve clients on a frontend machine
     #[bpaf(command("data-plane"))]
-    DataPlane(#[bpaf(external(metrics_at))] Option<MetricsAt>),
+    DataPlane(#[bpaf(external(role_options))] RoleOptions),
     /// Keep the link to the coordinators for the data plane of the same machine
     #[bpaf(command)]
-    Agent(#[bpaf(external(metrics_at))] Option<MetricsAt>),
+    Agent(#[bpaf(external(role_options))] RoleOptions),
     /// Be a member of the core
     #[bpaf(command)]
-    Coordinator(#[bpaf(external(metrics_at))] Option<MetricsAt>),
+    Coordinator(#[bpaf(external(role_options))] RoleOptions),
     /// Check a settings file: exit code 3 and a line with the place if it is at fault
     #[bpaf(command("check-settings"))]
     CheckSettings {
@@ -40,6 +42,13 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Check a policy file: exit code 3 and a line with the place if it is at fault
+    #[bpaf(command("check-policy"))]
+    CheckPolicy {
+        /// The file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show what a coordinator says of the core, the configuration, the backends and the nodes
     #[bpaf(command)]
     Status {
@@ -56,12 +65,13 @@
 
 /// Whether a command of this name is one of the system's.
 pub fn is_command(name: &str) -> bool {
-    const NAMES: [&str; 7] = [
+    const NAMES: [&str; 8] = [
         "data-plane",
         "agent",
         "coordinator",
         "check-settings",
         "check-configuration",
+        "check-policy",
         "status",
         "demo-fleet",
     ];
@@ -73,11 +83,12 @@
     let command = command().to_options().descr("Run a role of the system, or look after it").run();
     let out = &mut std::io::stdout();
     match command {
-        Command::DataPlane(metrics) => run(data_plane::run, metrics),
-        Command::Agent(metrics) => run(control::agent::run, metrics),
-        Command::Coordinator(metrics) => run(control::coordinator::run, metrics),
+        Command::DataPlane(options) => run(data_plane::run, options),
+        Command::Agent(options) => run(control::agent::run, options),
+        Command::Coordinator(options) => run(control::coordinator::run, options),
         Command::CheckSettings { file } => tools::check_settings(&file, out),
         Command::CheckConfiguration { file } => tools::check_configuration(&file, out),
+        Command::CheckPolicy { file } => tools::check_policy(&file, out),
         Command::Status { address } => tools::show_status(address, out),
         Command::DemoFleet(asked) => demo_fleet::main(&asked),
     }
@@ -91,10 +102,24 @@
         .optional()
 }
 
-fn run(role: fn(Settings, Option<MetricsAt>) -> ExitCode, metrics: Option<MetricsAt>) -> ExitCode {
+/// The policy file that the role decides by; without one the defaults hold
+fn policy() -> impl Parser<Policy> {
+    long("policy")
+        .help("The policy file that the role decides by; without one the defaults hold")
+        .argument::<PathBuf>("FILE")
+        .parse(|file| tools::read_policy(&file))
+        .fallback(Policy::default())
+}
+
+fn role_options() -> impl Parser<RoleOptions> {
+    let (metrics, policy) = (metrics_at(), policy());
+    bpaf::construct!(RoleOptions { metrics, policy })
+}
+
+fn run(role: fn(Settings, RoleOptions) -> ExitCode, options: RoleOptions) -> ExitCode {
     start_log();
     match Settings::from_environment() {
-        Ok(settings) => role(settings, metrics),
+        Ok(settings) => role(settings, options),
         Err(fault) => {
             log::error!("settings: {fault}");
             ExitCode::FAILURE
--- a/crates/marlwinch/src/command/tools.rs
+++ b/crates/marlwinch/src/command/tools.rs
@@ -2,6 +2,7 @@
 
 use super::status;
 use boot::Settings;
+use policy::Policy;
 use std::io::Write;
 use std::net::SocketAddrV4;
 use std::path::Path;
@@ -38,6 +39,24 @@
     }
 }
 
+/// Reads a policy file.
+///
+/// # Errors
+///
+/// The file's first fault, or why it can't be read, behind its path.
+pub fn read_policy(path: &Path) -> Result<Policy, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    Policy::parse(&text).map_err(|fault| format!("{}: {fault}", path.display()))
+}
+
+/// Checks a policy file. Writes its first fault, or that it has none.
+pub fn check_policy(path: &Path, out: &mut impl Write) -> ExitCode {
+    match read_policy(path) {
+        Ok(_) => tell(out, &[format!("{}: a sound policy", path.display())], 0),
+        Err(fault) => tell(out, &[fault], AT_FAULT),
+    }
+}
+
 /// Asks a coordinator at its control address and writes what it says as a table.
 pub fn show_status(address: SocketAddrV4, out: &mut impl Write) -> ExitCode {
     match status::ask(address) {
--- a/crates/marlwinch/src/data_plane/attempts.rs
+++ b/crates/marlwinch/src/data_plane/attempts.rs
@@ -21,13 +21,6 @@
 pub const ANSWER_EARLIER: Duration = Duration::from_millis(15);
 /// A request with less time than this is not sent any more: a backend could do nothing with it.
 const LEAST_LEFT: Duration = Duration::from_millis(50);
-/// When to come back after the backends have refused, as a part of the aim, and its bounds.
-const COME_BACK: u32 = 3;
-const SOONEST: Duration = Duration::from_millis(40);
-const LATEST: Duration = Duration::from_millis(400);
-/// A silent backend is given up for a request that may run again after so many times its aim, and not sooner than this.
-const SILENT_AIMS: u32 = 2;
-const LEAST_SILENCE: Duration = Duration::from_millis(500);
 /// How long is waited for the rest of an answer that nobody wants, so that its connection can be used again.
 const UNWANTED: Duration = Duration::from_millis(200);
 
@@ -89,6 +82,11 @@
         }
     }
 
+    /// Whether a stream of it may be taken up at another backend.
+    pub fn may_resume(&self) -> bool {
+        self.node.policy.sends.resume && self.asked.may_resume()
+    }
+
     fn terms(&self) -> Terms {
         let repeatable = self.asked.may_run_again();
         Terms { repeatable, max_attempts: self.asked.route.max_attempts }
@@ -116,13 +114,17 @@
         if !safe || !self.may_send_again() {
             return last;
         }
-        let silence = (self.asked.aim() * SILENT_AIMS).max(LEAST_SILENCE);
+        let policy = &self.node.policy.sends;
+        let silence = self.asked.aim().mul_f64(policy.silent_aims).max(policy.least_silence);
         last.min(Instant::now() + silence)
     }
 
     /// Whether the operator's limits leave room for another send.
     fn may_send_again(&self) -> bool {
         let asked = &self.asked;
+        if !self.node.policy.sends.again {
+            return false;
+        }
         let time = asked.due.saturating_duration_since(Instant::now()) > LEAST_LEFT;
         self.sends.leave_room(self.terms()) && time && asked.service.has_budget()
     }
@@ -180,7 +182,9 @@
     }
 
     fn come_back(&self) -> Duration {
-        (self.asked.aim() / COME_BACK).clamp(SOONEST, LATEST)
+        let policy = &self.node.policy.sends;
+        let back = self.asked.aim().mul_f64(policy.come_back_aims);
+        back.min(policy.latest_back).max(policy.soonest_back)
     }
 }
 
--- a/crates/marlwinch/src/data_plane/backend.rs
+++ b/crates/marlwinch/src/data_plane/backend.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper_util::rt::TokioIo;
+use policy::Connections;
 use routing::{BackendEntry, BackendId};
 use rustix::net::sockopt;
 use std::cell::{Cell, RefCell};
@@ -27,9 +28,6 @@
 /// After so long without a byte the system asks the peer's machine whether the connection is there, and how often.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBES: u32 = 2;
-/// A connection that has rested longer is closed: where the backend says how long it keeps one, and where it does not.
-const LONGEST_IDLE: Duration = Duration::from_secs(60);
-const LONGEST_IDLE_UNTOLD: Duration = Duration::from_secs(10);
 /// A connection is not used in the last part of the time for which its backend keeps it.
 const BEFORE_CLOSE: Duration = Duration::from_millis(600);
 /// The largest head of an answer. Bounds what is buffered for a connection.
@@ -91,6 +89,7 @@
     pub serving: Serving,
     /// For how much longer it was slow, when it was last listed.
     pub cold_remaining: Cell<Duration>,
+    policy: Connections,
     same_zone: bool,
     slots: u32,
     idle: RefCell<Vec<Idle>>,
@@ -100,11 +99,18 @@
 
 impl Backend {
     /// A backend that is listed. `None` if its identity is no header value.
-    pub fn new(id: BackendId, listed: &protocol::Backend, zone: &str, rest: Rc<Rest>) -> Option<Self> {
+    pub fn new(
+        id: BackendId,
+        listed: &protocol::Backend,
+        zone: &str,
+        rest: Rc<Rest>,
+        policy: &Connections,
+    ) -> Option<Self> {
         let instance = HeaderValue::from_str(&listed.instance_id).ok()?;
         Some(Backend {
             id,
             instance,
+            policy: policy.clone(),
             address: listed.address,
             serving: Serving::new(true),
             cold_remaining: Cell::new(Duration::from_millis(listed.cold_remaining_ms)),
@@ -172,16 +178,16 @@
         if closes || !connection.progress.is_complete() {
             return;
         }
-        self.keep_until(connection, kept_for(head));
+        self.keep_until(connection, self.kept_for(head));
     }
 
     /// Keeps a connection that has not been used.
     pub fn keep_unused(&self, connection: Connection) {
-        self.keep_until(connection, LONGEST_IDLE_UNTOLD);
+        self.keep_until(connection, self.policy.longest_idle_untold);
     }
 
     fn keep_until(&self, connection: Connection, long: Duration) {
-        if !self.serving.holds() || long.is_zero() {
+        if !self.serving.holds() || !self.policy.keep || long.is_zero() {
             return;
         }
         connection.progress.rest();
@@ -189,6 +195,17 @@
         self.idle.borrow_mut().push(Idle { connection, since, until: since + long });
     }
 
+    /// For how long a connection may rest behind an answer with this head.
+    fn kept_for(&self, head: &HeaderMap) -> Duration {
+        const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+        let untold = self.policy.longest_idle_untold;
+        let Some(list) = head.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()) else { return untold };
+        let timeout = list.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+        let text = timeout.unwrap_or(list).trim();
+        let Ok(seconds) = text.parse::<u64>() else { return untold };
+        Duration::from_secs(seconds).saturating_sub(BEFORE_CLOSE).min(self.policy.longest_idle)
+    }
+
     /// Opens a connection.
     pub async fn connect(&self, sockets: &OpenSockets) -> io::Result<Connection> {
         let open = [OpenOne::new(&sockets.open), OpenOne::new(&self.open)];
@@ -215,15 +232,3 @@
     sockopt::set_tcp_keepcnt(stream, PROBES)?;
     Ok(())
 }
-
-/// For how long a connection may rest behind an answer with this head.
-fn kept_for(head: &HeaderMap) -> Duration {
-    const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-    let Some(list) = head.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()) else {
-        return LONGEST_IDLE_UNTOLD;
-    };
-    let timeout = list.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
-    let text = timeout.unwrap_or(list).trim();
-    let Ok(seconds) = text.parse::<u64>() else { return LONGEST_IDLE_UNTOLD };
-    Duration::from_secs(seconds).saturating_sub(BEFORE_CLOSE).min(LONGEST_IDLE)
-}
--- a/crates/marlwinch/src/data_plane/mod.rs
+++ b/crates/marlwinch/src/data_plane/mod.rs
@@ -23,8 +23,9 @@
 
 use crate::clients::listeners::BACKLOG;
 use boot::Settings;
-use control::metrics::MetricsAt;
+use control::process::RoleOptions;
 use node::Node;
+use policy::Policy;
 use protocol::{FromProxy, ToProxy};
 use std::io;
 use std::net::SocketAddrV4;
@@ -51,10 +52,10 @@
 }
 
 /// Runs until told to end.
-pub fn run(settings: Settings, metrics: Option<MetricsAt>) -> ExitCode {
+pub fn run(settings: Settings, options: RoleOptions) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run_here(settings, metrics)),
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run_here(settings, options)),
         Err(error) => Err(error),
     };
     match done {
@@ -66,7 +67,7 @@
     }
 }
 
-async fn run_here(settings: Settings, metrics: Option<MetricsAt>) -> io::Result<()> {
+async fn run_here(settings: Settings, options: RoleOptions) -> io::Result<()> {
     let sockets = Sockets {
         frontend: listen(settings.listen.frontend, "frontend")?,
         readiness: listen(settings.listen.readiness, "readiness")?,
@@ -76,8 +77,8 @@
     let (to_agent, from_node) = unbounded_channel();
     let link = agent_link::run(settings.agent_address(), to_node, from_node);
     spawn_local(link);
-    let node = Rc::new(Node::new(&settings, to_agent));
-    control::metrics::start(settings.ip, metrics.as_ref(), node.figures.clone());
+    let node = Rc::new(Node::new(&settings, options.policy, to_agent));
+    control::metrics::start(settings.ip, options.metrics.as_ref(), node.figures.clone());
     serve_node(node, sockets, from_agent, end).await;
     Ok(())
 }
@@ -86,7 +87,7 @@
 /// be called on a `LocalSet`.
 pub async fn serve(settings: Settings, sockets: Sockets, feed: Feed, end: impl Future<Output = ()>) {
     let Feed { from_agent, to_agent } = feed;
-    serve_node(Rc::new(Node::new(&settings, to_agent)), sockets, from_agent, end).await;
+    serve_node(Rc::new(Node::new(&settings, Policy::default(), to_agent)), sockets, from_agent, end).await;
 }
 
 async fn serve_node(
--- a/crates/marlwinch/src/data_plane/node.rs
+++ b/crates/marlwinch/src/data_plane/node.rs
@@ -7,6 +7,7 @@
 use crate::data_plane::tenants::Limits;
 use boot::{Bounds, Settings};
 use configuration::{Configuration, RouteTable};
+use policy::Policy;
 use protocol::{BackendList, BackendState, FromProxy, MOST_INDEX_CHANGES, QuotaAnswer, ToProxy};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -28,14 +29,6 @@
 /// Frontend nodes that are assumed to share the backends until somebody says how many there are.
 const NODES_ASSUMED: u32 = 6;
 
-/// A fleet that has lost all power has its configuration and its list again by then: coordinators come up, agree, and read.
-const READY_AFTER: Duration = Duration::from_millis(1300);
-/// A node that starts alone, in a fleet that runs, has all by then: whoever asks before may wait for it.
-const STARTS_ALONE: Duration = Duration::from_millis(250);
-/// Clients come back to a node that is not ready no sooner than this, spread over so many milliseconds.
-const SOONEST_BACK: Duration = Duration::from_millis(300);
-const SPREAD_MS: u64 = 100;
-
 /// A configuration that requests are matched against.
 pub struct InForce {
     /// Its sequence; higher is newer.
@@ -50,6 +43,8 @@
     pub zone: String,
     /// The figures of the rules.
     pub bounds: Bounds,
+    /// What the node decides by.
+    pub policy: Policy,
     /// The tenants' limits.
     pub limits: Limits,
     /// Connections to backends.
@@ -76,14 +71,16 @@
 
 impl Node {
     /// A node that knows nothing yet.
-    pub fn new(settings: &Settings, to_agent: UnboundedSender<FromProxy>) -> Self {
+    pub fn new(settings: &Settings, policy: Policy, to_agent: UnboundedSender<FromProxy>) -> Self {
         let descriptors = settings.limits.max_fds.saturating_sub(OTHER_DESCRIPTORS).max(64) as usize;
         let started = Instant::now();
+        let limits = Limits::new(&settings.bounds, policy.limits, started);
         let kib_in_hand = (settings.limits.memory_mb << 10) / PART_IN_HAND;
         Node {
             zone: settings.zone.clone(),
             bounds: settings.bounds.clone(),
-            limits: Limits::new(&settings.bounds, started),
+            policy,
+            limits,
             sockets: Rc::new(OpenSockets::new(descriptors / 2)),
             most_clients: descriptors / 2,
             room_in_hand: Arc::new(Semaphore::new(kib_in_hand as usize)),
@@ -110,7 +107,7 @@
     pub async fn briefly_ready(&self) {
         while !(self.in_force.borrow().is_some() && self.has_list()) {
             let came = self.came.notified();
-            if timeout_at(self.started + STARTS_ALONE, came).await.is_err() {
+            if timeout_at(self.started + self.policy.recovery.waits_from_start, came).await.is_err() {
                 return;
             }
         }
@@ -123,8 +120,9 @@
 
     /// When a client may come back that was refused because the node is not ready yet.
     pub fn ready_in(&self) -> Duration {
-        let left = READY_AFTER.saturating_sub(self.started.elapsed()).max(SOONEST_BACK);
-        left + Duration::from_millis(self.draw(SPREAD_MS))
+        let recovery = &self.policy.recovery;
+        let left = recovery.ready_after.saturating_sub(self.started.elapsed()).max(recovery.soonest_back);
+        left + Duration::from_micros(self.draw(recovery.spread.as_micros() as u64))
     }
 
     /// The configuration in force.
@@ -139,7 +137,8 @@
             return service.clone();
         }
         let seed = self.random.borrow_mut().random();
-        let service = Rc::new(Service::new(name, self.started, &self.bounds, self.nodes.get(), seed));
+        let service =
+            Rc::new(Service::new(name, self.started, &self.bounds, &self.policy, self.nodes.get(), seed));
         services.insert(name.to_owned(), service.clone());
         service
     }
--- a/crates/marlwinch/src/data_plane/respond.rs
+++ b/crates/marlwinch/src/data_plane/respond.rs
@@ -76,7 +76,7 @@
     let (status, headers) = (answered.status, answered.headers);
     let promises = [408, 421, 429, 503].contains(&status.as_u16());
     let streams = status.is_success() && is_stream(&headers);
-    let events = (streams && asked.may_resume()).then(Events::default);
+    let events = (streams && attempts.may_resume()).then(Events::default);
     let (body, connection, load) = (answered.body, answered.connection, answered.load);
     let mut run = Run { body, headers: headers.clone(), connection, backend, underway, load, events };
     let mut held = BytesMut::new();
--- a/crates/marlwinch/src/data_plane/service.rs
+++ b/crates/marlwinch/src/data_plane/service.rs
@@ -3,6 +3,7 @@
 use crate::boxes::rest::Rest;
 use crate::data_plane::backend::Backend;
 use boot::Bounds;
+use policy::{Connections, Policy};
 use quota::RetryBudget;
 use routing::{BackendId, Decision, EngineSettings, Load, Outcome, RequestShape, SendId};
 use std::cell::{Cell, RefCell};
@@ -21,13 +22,11 @@
 /// Repeats that a node may make in a window whatever its requests: a single failure is repeated at a quiet hour too.
 const REPEATS_BESIDE: f64 = 2.0;
 
-/// What a node may use of the connections that a backend takes from all nodes. Load is uneven, so it is more than an even
-/// share; a node with less than this could not serve two requests at once.
-const PART_OF_CONNECTIONS: f64 = 1.5;
+/// A node with fewer connections to a backend than this could not serve two requests at once.
 const LEAST_CONNECTIONS: usize = 2;
 
-fn share(most: u64, nodes: u32) -> usize {
-    let share = most as f64 * PART_OF_CONNECTIONS / f64::from(nodes.max(1));
+fn share(most: u64, nodes: u32, part: f64) -> usize {
+    let share = most as f64 * part / f64::from(nodes.max(1));
     (share as usize).clamp(LEAST_CONNECTIONS, (most as usize).max(LEAST_CONNECTIONS))
 }
 
@@ -40,6 +39,7 @@
 pub struct Service {
     /// Its name.
     pub name: String,
+    connections: Connections,
     started: Instant,
     routing: RefCell<routing::Service>,
     backends: RefCell<HashMap<BackendId, Rc<Backend>>>,
@@ -52,11 +52,19 @@
 
 impl Service {
     /// A service without backends.
-    pub fn new(name: &str, started: Instant, bounds: &Bounds, nodes: u32, seed: u64) -> Self {
+    pub fn new(
+        name: &str,
+        started: Instant,
+        bounds: &Bounds,
+        policy: &Policy,
+        nodes: u32,
+        seed: u64,
+    ) -> Self {
         Service {
             name: name.to_owned(),
+            connections: policy.connections.clone(),
             started,
-            routing: RefCell::new(routing::Service::new(None, nodes, seed)),
+            routing: RefCell::new(routing::Service::with_policy(None, nodes, seed, policy.routing)),
             backends: RefCell::default(),
             budget: RefCell::new(budget(bounds)),
             rest: Rc::new(Rest::new(LONGEST_REST)),
@@ -81,7 +89,11 @@
         let mut routing = self.routing.borrow_mut();
         routing.reconfigure(engine, nodes);
         routing.set_audited(audited);
-        self.most_connections.set(described.max_connections.map_or(usize::MAX, |most| share(most, nodes)));
+        self.most_connections.set(
+            described
+                .max_connections
+                .map_or(usize::MAX, |most| share(most, nodes, self.connections.part_of_most)),
+        );
     }
 
     /// The most connections that this node opens to one of its backends.
@@ -97,7 +109,7 @@
             known.cold_remaining.set(Duration::from_millis(listed.cold_remaining_ms));
             return Some(known);
         }
-        Backend::new(id, listed, zone, self.rest.clone()).map(Rc::new)
+        Backend::new(id, listed, zone, self.rest.clone(), &self.connections).map(Rc::new)
     }
 
     /// The backends that take new work from now on. To all others nothing new goes out.
--- a/crates/marlwinch/src/data_plane/tenants.rs
+++ b/crates/marlwinch/src/data_plane/tenants.rs
@@ -41,10 +41,10 @@
 
 impl Limits {
     /// No tenants yet. `started` is when the clock of the limits began.
-    pub fn new(bounds: &Bounds, started: Instant) -> Self {
+    pub fn new(bounds: &Bounds, policy: policy::Limits, started: Instant) -> Self {
         let terms =
             Terms { window_s: bounds.quota_window_s, over: bounds.quota_over, slack: bounds.quota_slack };
-        let limits = RefCell::new(TenantLimits::new(terms, Duration::ZERO));
+        let limits = RefCell::new(TenantLimits::with_policy(terms, policy, Duration::ZERO));
         Limits { started, limits, answered: Notify::new(), asks: Notify::new() }
     }
 
--- a/crates/marlwinch/tests/data_plane_limits.rs
+++ b/crates/marlwinch/tests/data_plane_limits.rs
@@ -95,7 +95,8 @@
 fn allotment(number: u64, question: u64, amount: f64) -> ToProxy {
     let tenant = "acme".to_owned();
     let (wait_ms, retry_ms) = if amount > 0.0 { (0, 0) } else { (500, 700) };
-    let allotments = vec![Allotment { tenant, amount, continuing: 0.0, wait_ms, left: 0.0, retry_ms }];
+    let allotments =
+        vec![Allotment { tenant, amount, continuing: 0.0, wait_ms, left: 0.0, retry_ms, pressure: 0.0 }];
     ToProxy::Allotments(QuotaAnswer { question, epoch: 1, number, nodes: 4, allotments })
 }
 
--- a/crates/marlwinch/tests/system_tools.rs
+++ b/crates/marlwinch/tests/system_tools.rs
@@ -1,7 +1,7 @@
 //! The system's commands beside its roles: checks of files, and a coordinator's status as a table.
 
 use marlwinch::command::status::{ask, lines};
-use marlwinch::command::tools::{check_configuration, check_settings};
+use marlwinch::command::tools::{check_configuration, check_policy, check_settings};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::path::PathBuf;
@@ -100,3 +100,15 @@
     let expected = expected.join("\n");
     assert_eq!(told, expected);
 }
+
+#[test]
+fn a_policy_file_is_checked_with_the_place_of_its_fault() {
+    let good = file("good.toml", "[routing]\nslack = 0.02\n");
+    let bad = file("bad.toml", "[routing]\nslack = 7\n");
+    let mut out = Vec::new();
+    assert_eq!(format!("{:?}", check_policy(&good, &mut out)), exit(0));
+    assert_eq!(format!("{:?}", check_policy(&bad, &mut out)), exit(3));
+    let told = String::from_utf8(out).expect("text");
+    assert!(told.contains("good.toml: a sound policy"), "{told}");
+    assert!(told.contains("bad.toml: line 2, column 9: 7 is not between 0 and 1"), "{told}");
+}
--- a/crates/protocol/src/quota_terms.rs
+++ b/crates/protocol/src/quota_terms.rs
@@ -32,6 +32,9 @@
     pub continuing: f64,
     /// What the node has allowed itself without a grantor, since its process began.
     pub alone: f64,
+    /// The cost of requests that the node has refused since its last question, without asking for them.
+    #[serde(default)]
+    pub turned_away: f64,
 }
 
 /// The answer to a [`QuotaQuestion`].
@@ -64,4 +67,7 @@
     pub wait_ms: u64,
     /// In how many milliseconds a client that was refused is likely to get something; 0 if nothing was refused.
     pub retry_ms: u64,
+    /// What all nodes were asked for lately, in multiples of what may be given to them; 1 or less where that is enough.
+    #[serde(default)]
+    pub pressure: f64,
 }
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -1,6 +1,8 @@
 //! A node's reserve of one tenant's limit.
 
 use crate::limit::{ASSUMED_NODES, CONTACT, CONTINUED, Limit, Room, Terms};
+use crate::thinning::Thinning;
+use policy::Limits as LimitsPolicy;
 use protocol::Allotment;
 use std::time::Duration;
 
@@ -30,6 +32,7 @@
     pub top_up: f64,
     pub continuing: f64,
     pub alone: f64,
+    pub turned_away: f64,
 }
 
 /// What the grantor was told of the tenant in a question that it answered.
@@ -44,6 +47,8 @@
 pub(crate) struct Bucket {
     pub limit: Limit,
     room: Room,
+    policy: LimitsPolicy,
+    thinning: Thinning,
     nodes: u32,
     /// What may be used now; below 0 where a node without a grantor has gone beyond it.
     credit: f64,
@@ -69,10 +74,12 @@
 }
 
 impl Bucket {
-    pub fn new(limit: Limit, terms: &Terms, now: Duration) -> Self {
+    pub fn new(limit: Limit, terms: &Terms, policy: &LimitsPolicy, now: Duration) -> Self {
         Bucket {
             limit,
-            room: limit.room(terms),
+            room: limit.room(terms, policy),
+            policy: *policy,
+            thinning: Thinning::default(),
             nodes: ASSUMED_NODES,
             credit: 0.0,
             kept: 0.0,
@@ -95,7 +102,7 @@
         }
         self.continuing *= limit.rate / self.limit.rate;
         self.limit = limit;
-        self.room = limit.room(terms);
+        self.room = limit.room(terms, &self.policy);
         self.kept = 0.0;
         self.reported = None;
         self.dry_until = now;
@@ -147,10 +154,16 @@
         if contact.is_none_or(|asked| now >= asked + CONTACT) {
             return self.alone(now, cost, contact);
         }
+        if self.policy.thinning && !self.thinning.passes(now, cost) {
+            self.thinning.turned_away(cost);
+            return Err(self.wait(now, cost));
+        }
         if now < self.dry_until {
+            self.thinning.turned_away(cost);
             return Err(self.wait(now, cost));
         }
         if self.waiting.len() >= MOST_WAITING {
+            self.thinning.turned_away(cost);
             return Err(self.time_for(cost, self.limit.rate));
         }
         self.waiting.push(cost);
@@ -237,7 +250,8 @@
         if waiting.is_empty() && top_up == 0.0 && self.reported.is_some_and(is_known) {
             return None;
         }
-        Some(Needed { waiting, top_up, continuing: self.continuing, alone: self.alone })
+        let turned_away = self.thinning.take_turned_away();
+        Some(Needed { waiting, top_up, continuing: self.continuing, alone: self.alone, turned_away })
     }
 
     /// Takes an answer in. `waited` is what the question told as waiting, `alone` what it told as allowed without a grantor.
@@ -248,6 +262,7 @@
         self.reported = (!is_less).then_some(Reported { alone, at: now });
         self.continuing = continuing;
         self.left = allotment.left;
+        self.thinning.told(now, allotment.pressure);
         if allotment.wait_ms > 0 {
             self.dry_until = now + Duration::from_millis(allotment.wait_ms);
             self.refused_until = now + Duration::from_millis(allotment.retry_ms);
--- a/crates/quota/src/grantor.rs
+++ b/crates/quota/src/grantor.rs
@@ -3,6 +3,7 @@
 use crate::limit::{CONTACT, Limit, SILENT, Terms};
 use crate::pool::{Nodes, Pool, Silent};
 use configuration::Tenant;
+use policy::Limits as LimitsPolicy;
 use protocol::{Allotment, QuotaAnswer, QuotaQuestion};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -61,6 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct Grantor {
     terms: Terms,
+    policy: LimitsPolicy,
     epoch: u64,
     began: Duration,
     /// The number of the last answer.
@@ -78,8 +80,14 @@
 impl Grantor {
     /// Begins at `now`. For the first seconds it counts with nodes that only a grantor before has heard from.
     pub fn new(terms: Terms, now: Duration) -> Self {
+        Grantor::with_policy(terms, LimitsPolicy::default(), now)
+    }
+
+    /// The same, with a policy of its own. All nodes and grantors of a fleet have the same one.
+    pub fn with_policy(terms: Terms, policy: LimitsPolicy, now: Duration) -> Self {
         Grantor {
             terms,
+            policy,
             epoch: 0,
             began: now,
             number: 0,
@@ -97,7 +105,9 @@
         let mut before = std::mem::take(&mut self.pools);
         for tenant in tenants {
             let Some(limit) = Limit::of(tenant) else { continue };
-            let mut pool = before.remove(&tenant.name).unwrap_or_else(|| Pool::new(limit, &self.terms, now));
+            let mut pool = before
+                .remove(&tenant.name)
+                .unwrap_or_else(|| Pool::new(limit, &self.terms, &self.policy, now));
             pool.change(limit, &self.terms);
             self.pools.insert(tenant.name.clone(), pool);
         }
@@ -130,6 +140,7 @@
                 left: given.left,
                 wait_ms: given.wait_ms,
                 retry_ms: given.retry_ms,
+                pressure: given.pressure,
             });
         }
         self.number += 1;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -19,6 +19,7 @@
 mod meter;
 mod node;
 mod pool;
+mod thinning;
 
 pub use budget::RetryBudget;
 pub use grantor::Grantor;
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -1,18 +1,13 @@
 //! A tenant's limit, and how what the rule leaves beyond the rate is divided between the fleet's bucket and the reserves.
 
 use configuration::{Tenant, Unit};
+use policy::Limits as LimitsPolicy;
 use std::time::Duration;
 
 /// How long a request may be under way between its admission and the moment at which the rule counts it.
 const UNDER_WAY: Duration = Duration::from_millis(600);
-/// The part of the room that is used at all. Guards against rounding and against what few messages that are late do.
-const USED: f64 = 0.95;
 /// The least part of the room that is used where a second of the rate is more than all of it.
 const LEAST_USED: f64 = 0.6;
-/// The part of the used room that is the fleet's bucket; the rest is in the nodes' reserves.
-const POOL: f64 = 0.7;
-/// The part of the fleet's bucket that is its depth; the rest is what it may owe.
-const DEPTH: f64 = 0.65;
 /// A node without a grantor for long uses this part of the limit, divided by the number of nodes.
 pub(crate) const KEPT_BACK: f64 = 0.3;
 /// By how many times its even part of the rate a node is promised at most. Guards against a node that a next grantor does not
@@ -73,16 +68,16 @@
     }
 
     /// What may be used beyond the rate.
-    pub fn room(&self, terms: &Terms) -> Room {
+    pub fn room(&self, terms: &Terms, policy: &LimitsPolicy) -> Room {
         let slack = if self.unit == Unit::Tokens { terms.slack } else { 0.0 };
         let whole = self.burst + terms.over * (self.rate * terms.window_s + self.burst) + slack;
         let under_way = self.rate * UNDER_WAY.as_secs_f64();
-        let used = (whole - under_way).max(whole * LEAST_USED) * USED;
-        let pool = used * POOL;
+        let used = (whole - under_way).max(whole * LEAST_USED) * policy.used;
+        let pool = used * policy.pool;
         let one = if self.unit == Unit::Requests { 1.0 } else { 0.0 };
         Room {
-            depth: pool * DEPTH,
-            debt: pool * (1.0 - DEPTH),
+            depth: pool * policy.depth,
+            debt: pool * (1.0 - policy.depth),
             reserves: used - pool,
             largest: pool.max(one),
         }
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -3,12 +3,11 @@
 use crate::bucket::Bucket;
 use crate::limit::{CONTACT, CONTINUED, Limit, Terms};
 use configuration::Tenant;
+use policy::Limits as LimitsPolicy;
 use protocol::{Demand, QuotaAnswer, QuotaQuestion};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// The longest time that a request waits for the grantor's answer.
-const LONGEST_WAIT: Duration = Duration::from_millis(150);
 /// Questions that may be without an answer. Guards against a grantor that never answers.
 const MOST_OPEN: usize = 64;
 /// The least time between two questions. Guards against a question for each request of an overload.
@@ -63,6 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct TenantLimits {
     terms: Terms,
+    policy: LimitsPolicy,
     buckets: HashMap<String, Bucket>,
     /// The number of the last question.
     question: u64,
@@ -81,8 +81,14 @@
 impl TenantLimits {
     /// No tenants yet.
     pub fn new(terms: Terms, now: Duration) -> Self {
+        TenantLimits::with_policy(terms, LimitsPolicy::default(), now)
+    }
+
+    /// The same, with a policy of its own. All nodes and grantors of a fleet have the same one.
+    pub fn with_policy(terms: Terms, policy: LimitsPolicy, now: Duration) -> Self {
         TenantLimits {
             terms,
+            policy,
             buckets: HashMap::new(),
             question: 0,
             asked: None,
@@ -99,8 +105,9 @@
         let mut before = std::mem::take(&mut self.buckets);
         for tenant in tenants {
             let Some(limit) = Limit::of(tenant) else { continue };
-            let mut bucket =
-                before.remove(&tenant.name).unwrap_or_else(|| Bucket::new(limit, &self.terms, now));
+            let mut bucket = before
+                .remove(&tenant.name)
+                .unwrap_or_else(|| Bucket::new(limit, &self.terms, &self.policy, now));
             bucket.change(limit, &self.terms, now);
             self.buckets.insert(tenant.name.clone(), bucket);
         }
@@ -111,9 +118,10 @@
         let Some(bucket) = self.buckets.get_mut(tenant) else { return Admission::Admitted };
         match bucket.admit(now, cost, self.contact) {
             Ok(true) => Admission::Admitted,
-            Ok(false) => {
-                Admission::Undecided(Ticket { question: self.question + 1, until: now + LONGEST_WAIT })
-            }
+            Ok(false) => Admission::Undecided(Ticket {
+                question: self.question + 1,
+                until: now + self.policy.longest_wait,
+            }),
             Err(wait) => Admission::Refused(wait),
         }
     }
@@ -168,6 +176,7 @@
                 top_up: needed.top_up,
                 continuing: needed.continuing,
                 alone: needed.alone,
+                turned_away: needed.turned_away,
             });
         }
         demands.sort_by(|a, b| a.tenant.cmp(&b.tenant));
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::limit::{CONTACT, CONTINUED, Limit, MOST_UNEVEN, Room, Terms};
 use crate::meter::Meter;
+use policy::Limits as LimitsPolicy;
 use protocol::Demand;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,8 +11,6 @@
 const USE_MEASURED: Duration = Duration::from_secs(5);
 /// Over how long what a tenant asks of all nodes is measured.
 const ASKED_MEASURED: Duration = Duration::from_millis(1500);
-/// What is left in the bucket when reserves are filled up, so that requests that wait find something.
-const LEFT_BY_TOP_UPS: f64 = 0.25;
 /// The least part of the rate that an estimate counts with as flowing in.
 const LEAST_INFLOW: f64 = 0.01;
 /// The least that a node is told to wait.
@@ -58,6 +57,8 @@
     pub left: f64,
     pub wait_ms: u64,
     pub retry_ms: u64,
+    /// What is asked for beside what may be given.
+    pub pressure: f64,
 }
 
 /// The fleet's bucket.
@@ -65,6 +66,7 @@
 pub(crate) struct Pool {
     limit: Limit,
     room: Room,
+    policy: LimitsPolicy,
     level: f64,
     filled: Duration,
     asked: Meter,
@@ -79,10 +81,11 @@
 
 impl Pool {
     /// Empty at first: what a grantor before has given is used under the same limit.
-    pub fn new(limit: Limit, terms: &Terms, now: Duration) -> Self {
+    pub fn new(limit: Limit, terms: &Terms, policy: &LimitsPolicy, now: Duration) -> Self {
         Pool {
             limit,
-            room: limit.room(terms),
+            room: limit.room(terms, policy),
+            policy: *policy,
             level: 0.0,
             filled: now,
             asked: Meter::new(ASKED_MEASURED, now),
@@ -105,7 +108,7 @@
         // Nodes go on with as much more or less as soon as they know of the limit.
         self.brought *= limit.rate / self.limit.rate;
         self.limit = limit;
-        self.room = limit.room(terms);
+        self.room = limit.room(terms, &self.policy);
         self.level = self.level.min(self.room.depth);
     }
 
@@ -191,12 +194,13 @@
         let waiting: f64 = demand.waiting.iter().sum();
         let (granted, lacking) = self.grant(&demand.waiting);
         let top_up = self.top_up(demand.top_up);
-        self.asked.add(now, waiting.max(0.0));
+        self.asked.add(now, waiting.max(0.0) + finite(demand.turned_away));
         self.used.add(now, granted + top_up);
         let continuing = self.promise(now, node, granted + top_up, finite(demand.continuing), nodes);
         let (wait_ms, retry_ms) = lacking.map_or((0, 0), |lacking| self.waits_ms(now, lacking, nodes));
         let left = (self.level + self.room.debt).max(0.0);
-        Given { amount: granted + top_up, continuing, left, wait_ms, retry_ms }
+        let pressure = self.pressure(now);
+        Given { amount: granted + top_up, continuing, left, wait_ms, retry_ms, pressure }
     }
 
     /// What is given to requests that wait, and by how much the level is too low for the first that gets nothing.
@@ -216,7 +220,7 @@
 
     fn top_up(&mut self, wanted: f64) -> f64 {
         let wanted = finite(wanted);
-        let given = (self.level - self.room.depth * LEFT_BY_TOP_UPS).clamp(0.0, wanted);
+        let given = (self.level - self.room.depth * self.policy.left_by_top_ups).clamp(0.0, wanted);
         self.level -= given;
         given
     }
@@ -242,6 +246,16 @@
         continuing
     }
 
+    /// What is asked for in multiples of the rate, as far as the bucket is used up: what is left in it is given first. Where each
+    /// request is asked for with one chance in that many, as much is asked for as flows in once the level is at the part of the
+    /// depth that is kept, however much the tenant sends: nearly all that is asked for is given then.
+    fn pressure(&mut self, now: Duration) -> f64 {
+        let asked = self.asked.rate(now) / self.limit.rate;
+        let used_up = 1.0 - (self.level / self.room.depth.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
+        let used_up = used_up / (1.0 - self.policy.kept_level).max(f64::MIN_POSITIVE);
+        1.0 + (asked - 1.0).max(0.0) * used_up
+    }
+
     /// How long it takes until the level suffices, and how long with as many others waiting as ask for more than flows in.
     fn waits_ms(&mut self, now: Duration, lacking: f64, nodes: &Nodes) -> (u64, u64) {
         let pressure = (self.asked.rate(now) / self.limit.rate).max(1.0);
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -1,5 +1,6 @@
 //! Whether a backend is to be spared: what its failures say, how long it rests, how it comes back.
 
+use policy::Routing as RoutingPolicy;
 use std::time::Duration;
 
 /// What one sign of health weighs in the smoothed share of failures.
@@ -10,9 +11,6 @@
 const TROUBLED: f64 = 0.5;
 /// By how much its share must exceed the mean of all.
 const BEYOND_OTHERS: f64 = 1.5;
-/// The first rest; each further one is twice as long, up to the longest.
-const FIRST_REST: Duration = Duration::from_millis(400);
-const LONGEST_REST: Duration = Duration::from_secs(6);
 /// Sends that a backend may have at once when it comes back; each answer admits two more, until it is sound.
 const FIRST_ALLOWED: u32 = 1;
 const SOUND_FROM: u32 = 16;
@@ -125,9 +123,10 @@
         }
     }
 
-    /// Ejects it. `chance`, from 0 to 1, spreads the trials of many nodes. Returns the rest.
-    pub fn eject(&mut self, now: Duration, chance: f64) -> Duration {
-        let longest = FIRST_REST.saturating_mul(1 << self.rests.min(10)).min(LONGEST_REST);
+    /// Ejects it: each rest is twice as long as the one before, up to the longest. `chance`, from 0 to 1, spreads the
+    /// trials of many nodes. Returns the rest.
+    pub fn eject(&mut self, now: Duration, policy: &RoutingPolicy, chance: f64) -> Duration {
+        let longest = policy.first_rest.saturating_mul(1 << self.rests.min(10)).min(policy.longest_rest);
         let rest = longest.mul_f64(0.75 + chance / 2.0);
         self.rests = self.rests.saturating_add(1);
         self.standing = Standing::Resting { until: now + rest, on_trial: false };
@@ -135,10 +134,10 @@
     }
 
     /// Many fail at once, so the trouble may be this node's own: it is tried again soon.
-    pub fn hurry(&mut self, now: Duration) {
+    pub fn hurry(&mut self, now: Duration, soon: Duration) {
         self.rests = 0;
         if let Standing::Resting { until, .. } = &mut self.standing {
-            *until = (*until).min(now + FIRST_REST);
+            *until = (*until).min(now + soon);
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,10 +16,9 @@
 mod pace;
 mod refusal;
 mod service;
-mod tuning;
 mod urgency;
 
 pub use index::{IndexChange, part_keys, prompt_parts};
 pub use interface::*;
+pub use policy::Routing as RoutingPolicy;
 pub use service::Service;
-pub use tuning::Tuning;
--- a/crates/routing/src/loss.rs
+++ b/crates/routing/src/loss.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::Backend;
 use crate::interface::Load;
-use crate::tuning::Tuning;
+use policy::Routing as RoutingPolicy;
 use std::time::Duration;
 
 /// News of a backend's load counts for so long.
@@ -31,7 +31,7 @@
     pub busy: f64,
     /// The aim of the request, in ms.
     pub aim_ms: f64,
-    pub tuning: Tuning,
+    pub policy: RoutingPolicy,
 }
 
 impl Outlook {
@@ -65,14 +65,15 @@
     /// The ms to the first byte.
     pub fn first_ms(&self, backend: &Backend, missing: f64) -> f64 {
         let reading = if self.reads_prompts { missing / self.rate } else { 0.0 };
-        let slowness = (backend.slowness(self.now) / self.tuning.slow_from).max(1.0);
+        let slowness = if self.policy.slowness { backend.slowness(self.now) } else { 1.0 };
+        let slowness = (slowness / self.policy.slow_from).max(1.0);
         (self.wait_ms(backend) + reading + self.base_ms) * slowness
     }
 
     /// What a send costs, in ms: the time to the first byte, and what is read there by the time that this takes,
     /// the more the less of it all have left.
     pub fn loss(&self, backend: &Backend, missing: f64, missing_shared: f64) -> f64 {
-        let Tuning { reread_cost, read_cost, busy_weight, .. } = self.tuning;
+        let RoutingPolicy { reread_cost, read_cost, busy_weight, .. } = self.policy;
         let scarce = 1.0 + busy_weight * self.busy / (1.0 - self.busy);
         let read = (reread_cost * missing_shared + read_cost * missing) / self.rate * scarce;
         read + self.first_ms(backend, missing)
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -11,9 +11,9 @@
 use crate::kept::Kept;
 use crate::pace::Pace;
 use crate::refusal;
-use crate::tuning::Tuning;
 use crate::urgency::Urgency;
 use larchspread::join::Traffic;
+use policy::Routing as RoutingPolicy;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
@@ -26,7 +26,7 @@
 pub struct Service {
     pub(crate) engine: Option<EngineSettings>,
     nodes: u32,
-    tuning: Tuning,
+    policy: RoutingPolicy,
     pub(crate) backends: Vec<Backend>,
     /// Where a backend stands, by its identity and by its number; their hashes, side by side for speed; when
     /// all are warm.
@@ -71,15 +71,15 @@
 impl Service {
     /// A service without backends. `nodes` is the number of frontend nodes that share them.
     pub fn new(engine: Option<EngineSettings>, nodes: u32, seed: u64) -> Self {
-        Service::with_tuning(engine, nodes, seed, Tuning::default())
+        Service::with_policy(engine, nodes, seed, RoutingPolicy::default())
     }
 
-    /// The same, with other figures to go by.
-    pub fn with_tuning(engine: Option<EngineSettings>, nodes: u32, seed: u64, tuning: Tuning) -> Self {
+    /// The same, with a policy of its own.
+    pub fn with_policy(engine: Option<EngineSettings>, nodes: u32, seed: u64, policy: RoutingPolicy) -> Self {
         Service {
             engine,
             nodes: nodes.max(1),
-            tuning,
+            policy,
             backends: Vec::new(),
             places: FxHashMap::default(),
             numbers: FxHashMap::default(),
@@ -139,7 +139,7 @@
 
     /// Decides on a request that was sent to `tried` before.
     pub fn decide(&mut self, now: Duration, request: &RequestShape, tried: &[BackendId]) -> Decision {
-        let urgency = self.urgency.of(request, self.tuning.small_first);
+        let urgency = self.urgency.of(request, self.policy.urgency, self.policy.small_first);
         let prompt = Prompt::of(request);
         let looked_at = self.looked_at(now, &prompt);
         let mut roomy = self.roomy(now, looked_at, tried);
--- a/crates/routing/src/service/choose.rs
+++ b/crates/routing/src/service/choose.rs
@@ -10,10 +10,6 @@
 use rand::seq::IndexedRandom;
 use std::time::Duration;
 
-/// A send whose first byte is late by less than this is no sign of silence.
-const PATIENCE: Duration = Duration::from_millis(300);
-/// Of more backends than this, only some are looked at.
-const MANY: usize = 64;
 /// How many of the ranking are looked at, and how many are drawn besides.
 const MOST_RANKED: usize = 8;
 const DRAWN: usize = 48;
@@ -31,17 +27,13 @@
     /// prompt or are meant to, and some drawn at random.
     pub(super) fn looked_at(&mut self, now: Duration, prompt: &Prompt) -> Vec<usize> {
         let count = self.backends.len();
-        if count <= MANY {
+        if count <= self.policy.looked_at_all {
             return (0..count).collect();
         }
         let mut some: Vec<usize> = (0..DRAWN).map(|_| self.random.random_range(0..count)).collect();
-        if let Some(key) = prompt.key().filter(|_| self.engine.is_some()) {
+        if let Some(key) = prompt.key().filter(|_| self.engine.is_some() && self.policy.rendezvous) {
             some.extend(self.ranking(now, key, 0..count).backends());
-            let holders = self
-                .kept
-                .beginnings(&prompt.chain, self.most_holders())
-                .into_iter()
-                .map(|(number, _)| number);
+            let holders = self.beginnings(prompt).into_iter().map(|(number, _)| number);
             some.extend(holders.filter_map(|number| self.numbers.get(&number).copied()));
         }
         some.sort_unstable();
@@ -56,7 +48,9 @@
             among.retain(|at| !tried.contains(&self.backends[*at].entry.id));
         }
         self.keep_if_any(&mut among, |backend| backend.health.admits(now, backend.out));
-        self.keep_if_any(&mut among, |backend| !backend.is_silent(now, PATIENCE));
+        if self.policy.silence {
+            self.keep_if_any(&mut among, |backend| !backend.is_silent(now, self.policy.patience));
+        }
         among
     }
 
@@ -79,13 +73,16 @@
             usual_tokens: self.usual_tokens,
             reads_prompts: self.engine.is_some(),
             aim_ms: (request.aim.as_secs_f64() * 1e3).max(1.0),
-            tuning: self.tuning,
+            policy: self.policy,
         }
     }
 
     /// This node's share of the traffic: its own sends beside all that backends tell of.
     fn share(&self) -> f64 {
         let even = 1.0 / f64::from(self.nodes);
+        if !self.policy.traffic_share {
+            return even;
+        }
         let share = (self.own_out + SHARE_PRIOR * even) / (self.all_out + SHARE_PRIOR);
         share.clamp(even / 4.0, 1.0)
     }
@@ -93,7 +90,7 @@
     /// The backends that are about as good as the best for a request, by what a send there costs.
     pub(super) fn candidates(&self, outlook: &Outlook, prompt: &Prompt, among: &[usize]) -> Vec<Candidate> {
         let (ranked, meant) = self.ranked(outlook, prompt, among);
-        let beginnings = self.kept.beginnings(&prompt.chain, self.most_holders());
+        let beginnings = self.beginnings(prompt);
         let shared = prompt.shared_tokens;
         let rate = |at: usize| {
             let backend = &self.backends[at];
@@ -107,26 +104,33 @@
         };
         let rated: Vec<Candidate> = among.iter().copied().map(rate).collect();
         let best = rated.iter().map(|c| c.loss).min_by(f64::total_cmp).unwrap_or_default();
-        let most = best + outlook.tuning.slack * outlook.aim_ms;
+        let most = best + outlook.policy.slack * outlook.aim_ms;
         rated.into_iter().filter(|candidate| candidate.loss <= most).collect()
     }
 
     /// The ranking for a prompt, and on how many of its first places the shared parts are meant to be.
     fn ranked(&self, outlook: &Outlook, prompt: &Prompt, among: &[usize]) -> (Vec<usize>, usize) {
-        let Some(key) = prompt.key().filter(|_| self.engine.is_some()) else { return (Vec::new(), 0) };
+        let is_placed = self.engine.is_some() && self.policy.rendezvous;
+        let Some(key) = prompt.key().filter(|_| is_placed) else { return (Vec::new(), 0) };
         let ranking = self.ranking(outlook.now, key, among.iter().copied());
         let lately = self.keys.get(&key).map_or(0.0, |flow| flow.per_s(outlook.now, MEMORY_S)) * MEMORY_S;
-        let certain = (lately - outlook.tuning.key_margin * lately.sqrt()).max(0.0) / MEMORY_S;
+        let certain = (lately - outlook.policy.key_margin * lately.sqrt()).max(0.0) / MEMORY_S;
         let own = (prompt.tokens - prompt.shared_tokens).min(self.usual_tokens);
         let busy_share = certain * own / 1e3 / outlook.share / outlook.rate;
-        let wanted = (busy_share / outlook.tuning.hot_share).ceil() as usize;
+        let wanted = (busy_share / outlook.policy.hot_share).ceil() as usize;
         let ranked: Vec<usize> = ranking.backends().collect();
-        let meant = wanted.max(outlook.tuning.copies).min(ranked.len());
+        let meant = wanted.max(outlook.policy.copies).min(ranked.len());
         (ranked, meant)
     }
 
-    fn most_holders(&self) -> usize {
-        if self.backends.len() <= MANY { MANY } else { MOST_HOLDERS }
+    /// The backends that keep some beginning of a prompt, by the index of own sends.
+    fn beginnings(&self, prompt: &Prompt) -> Vec<(u32, f64)> {
+        if !self.policy.index {
+            return Vec::new();
+        }
+        let all = self.policy.looked_at_all;
+        let most = if self.backends.len() <= all { all } else { MOST_HOLDERS };
+        self.kept.beginnings(&prompt.chain, most)
     }
 
     fn ranking(&self, now: Duration, key: u64, among: impl Iterator<Item = usize>) -> Ranking {
@@ -157,6 +161,9 @@
             f64::from(backend.estimate.value()) / self.places_of(backend, now)
         };
         let near: Vec<usize> = candidates.iter().map(|candidate| candidate.at).collect();
+        if !self.policy.estimate {
+            return near.choose(&mut self.random).copied().unwrap_or(all[0]);
+        }
         let ties =
             join::lowest_below(&near, estimate, cap).or_else(|| join::lowest_below(all, estimate, cap));
         if let Some(at) = ties.and_then(|ties| ties.choose(&mut self.random).copied()) {
--- a/crates/routing/src/service/outcomes.rs
+++ b/crates/routing/src/service/outcomes.rs
@@ -116,7 +116,7 @@
     /// enough were free, and nothing was sent there since.
     fn take_in(&mut self, at: usize, then: Duration, load: Load) {
         let backend = &self.backends[at];
-        let most = (f64::from(load.slots.max(1)) * self.tuning.idle_share).max(1.0);
+        let most = (f64::from(load.slots.max(1)) * self.policy.idle_share).max(1.0);
         let is_idle = load.waiting == 0 && f64::from(load.running) <= most;
         let is_current = backend.last_send.is_none_or(|sent| sent <= then);
         if !is_idle || is_current {
@@ -159,12 +159,13 @@
         let backend = &mut self.backends[at];
         let rests = backend.health.is_resting();
         let has_room = rests || 2 * (resting + 1) <= all;
-        let is_odd = backend.health.failed(failure, was_trial, mean);
+        let is_odd = backend.health.failed(failure, was_trial, mean) && self.policy.ejection;
         if is_odd && has_room {
-            let rest = backend.health.eject(now, chance);
+            let rest = backend.health.eject(now, &self.policy, chance);
             log::info!("backend {} rests for {rest:?} after {failure:?}", backend.entry.id.0);
         } else if !has_room && backend.health.is_troubled() {
-            self.backends.iter_mut().for_each(|other| other.health.hurry(now));
+            let soon = self.policy.first_rest;
+            self.backends.iter_mut().for_each(|other| other.health.hurry(now, soon));
         }
     }
 
--- a/crates/routing/src/service/reports.rs
+++ b/crates/routing/src/service/reports.rs
@@ -15,6 +15,9 @@
     /// An estimate that stays up while others are zeroed by answers keeps all sends away, and so the answers that
     /// would zero it.
     fn zero_the_forgotten(&mut self, now: Duration) {
+        if !self.policy.forgetting {
+            return;
+        }
         let forgotten = self.backends.iter_mut().filter(|backend| backend.is_forgotten(now, FORGOTTEN));
         forgotten.for_each(|backend| backend.estimate.idle());
     }
@@ -22,7 +25,8 @@
     /// The backends that should be asked for a report now. To be called a few times a second.
     pub fn wanted_reports(&mut self, now: Duration) -> Vec<BackendId> {
         self.zero_the_forgotten(now);
-        if self.last_report_at.is_some_and(|at| now.saturating_sub(at) < REPORT_EVERY) {
+        if !self.policy.reports || self.last_report_at.is_some_and(|at| now.saturating_sub(at) < REPORT_EVERY)
+        {
             return Vec::new();
         }
         let cap = f64::from(self.own.cap());
--- a/crates/routing/src/urgency.rs
+++ b/crates/routing/src/urgency.rs
@@ -2,6 +2,8 @@
 
 use crate::interface::RequestShape;
 
+/// The value that a backend assumes where none is told.
+const UNRANKED: u8 = 5;
 /// The last of the values.
 const LAST: u8 = 9;
 /// Ranks that are told apart; more than these share values with their neighbours.
@@ -18,7 +20,10 @@
 impl Urgency {
     /// The urgency of a request, 0 first. A more urgent rank never has a later value than a less urgent one;
     /// where values are left, the smaller prompts of a rank come first within it.
-    pub fn of(&mut self, request: &RequestShape, small_first: bool) -> u8 {
+    pub fn of(&mut self, request: &RequestShape, by_rank: bool, small_first: bool) -> u8 {
+        if !by_rank {
+            return UNRANKED;
+        }
         let rank = (request.tenant_priority, request.route_priority);
         let tokens = f64::from(request.prompt_tokens);
         let at = match self.ranks.binary_search_by_key(&rank, |(known, _)| *known) {
