Refuse a tenant far beyond its limit with the same chance at each node

Change: nodes tell the grantor what they refuse by themselves, the grantor answers with the pressure (asked for beside the rate, as far as its bucket is used up), and each request is asked for with one chance in that many. The level stays at a fifth of the depth, so that nearly all that is asked for is given.

Tests: far_beyond_its_limit_a_tenant_is_served_about_evenly_by_all_nodes holds it beside the same without thinning; thinning_takes_nothing_from_the_limit.

--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -38,7 +38,7 @@
             pool: 0.7,
             depth: 0.65,
             left_by_top_ups: 0.25,
-            thinning: false,
+            thinning: true,
             kept_level: 0.2,
             longest_wait: Duration::from_millis(150),
         }
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -66,6 +66,8 @@
     /// When, and at what cost.
     pub admitted: Vec<(Duration, f64)>,
     pub refused: Vec<(Duration, f64)>,
+    /// What each node was asked for and what it admitted, by its number.
+    pub by_node: Vec<(f64, f64)>,
 }
 
 pub struct Fleet {
@@ -87,6 +89,7 @@
     /// How the requests are divided among the nodes; evenly where it is empty.
     pub weights: Vec<f64>,
     pub rng: Pcg64,
+    pub policy: policy::Limits,
 }
 
 impl Fleet {
@@ -105,14 +108,24 @@
             under_way: Vec::new(),
             weights: Vec::new(),
             rng,
+            policy: policy::Limits::default(),
         };
+        fleet.counts.by_node = vec![(0.0, 0.0); nodes];
         fleet.nodes = (0..nodes).map(|_| fleet.fresh(0)).collect();
         fleet.new_grantor();
         fleet
     }
 
+    /// The same fleet under another policy, all of it begun anew.
+    pub fn with_policy(mut self, policy: policy::Limits) -> Self {
+        self.policy = policy;
+        self.nodes = (0..self.nodes.len()).map(|_| self.fresh(0)).collect();
+        self.new_grantor();
+        self
+    }
+
     fn fresh(&self, life: u64) -> Node {
-        let mut limits = TenantLimits::new(TERMS, self.now);
+        let mut limits = TenantLimits::with_policy(TERMS, self.policy, self.now);
         limits.configure(self.now, std::slice::from_ref(&self.tenant));
         Node { limits, waiting: Vec::new(), life, cut: false, gone: None, answers: [None; 2] }
     }
@@ -155,7 +168,7 @@
 
     pub fn new_grantor(&mut self) {
         self.epoch += 1;
-        let mut grantor = Grantor::new(TERMS, self.now);
+        let mut grantor = Grantor::with_policy(TERMS, self.policy, self.now);
         grantor.configure(self.now, self.epoch, std::slice::from_ref(&self.tenant));
         self.grantor = Some(grantor);
         self.tell_nodes();
@@ -194,13 +207,17 @@
         else {
             return;
         };
+        self.counts.by_node[node].0 += cost;
         let admission = self.nodes[node].limits.admit(self.now, TENANT, cost);
         self.settle(node, cost, admission);
     }
 
     fn settle(&mut self, node: usize, cost: f64, admission: Admission) {
         match admission {
-            Admission::Admitted => self.counts.admitted.push((self.now, cost)),
+            Admission::Admitted => {
+                self.counts.admitted.push((self.now, cost));
+                self.counts.by_node[node].1 += cost;
+            }
             Admission::Refused(_) => self.counts.refused.push((self.now, cost)),
             Admission::Undecided(ticket) => self.nodes[node].waiting.push(Waiting { cost, ticket }),
         }
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -386,3 +386,43 @@
     assert!(asked >= 290, "{asked} questions of three nodes in 40 s");
     assert!(named <= 36, "{named} of {asked} name a tenant of which nothing is needed");
 }
+
+/// The least and the most that a node admits of what it is asked for, where one of eight nodes gets a third of all requests of a
+/// tenant that asks for six times its limit.
+fn shares_of_an_overload(thinning: bool, seed: u64) -> (f64, f64) {
+    let rate = 400_000.0;
+    let policy = policy::Limits { thinning, ..policy::Limits::default() };
+    let rng = Pcg64::seed_from_u64(seed);
+    let mut fleet = Fleet::new(8, tenant(rate, Unit::Tokens), rng).with_policy(policy);
+    fleet.weights = vec![4.0, 2.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0];
+    play(&mut fleet, 3.0, rate * 0.5);
+    play(&mut fleet, 30.0, rate * 6.0);
+    let shares: Vec<f64> = fleet.counts.by_node.iter().map(|(asked, admitted)| admitted / asked).collect();
+    let least = shares.iter().copied().fold(f64::INFINITY, f64::min);
+    (least, shares.iter().copied().fold(0.0, f64::max))
+}
+
+#[test]
+fn far_beyond_its_limit_a_tenant_is_served_about_evenly_by_all_nodes() {
+    for seed in 0..4 {
+        let (least, most) = shares_of_an_overload(true, seed);
+        assert!(least > 0.66 * most, "seed {seed}: from {least:.3} to {most:.3}");
+        let (least, most) = shares_of_an_overload(false, seed);
+        assert!(least < 0.66 * most, "seed {seed}: even without thinning, from {least:.3} to {most:.3}");
+    }
+}
+
+#[test]
+fn thinning_takes_nothing_from_the_limit() {
+    for seed in 0..4 {
+        let rate = 60_000.0;
+        let mut fleet = Fleet::new(8, tenant(rate, Unit::Tokens), Pcg64::seed_from_u64(seed));
+        play(&mut fleet, 3.0, rate * 0.5);
+        let begun = fleet.now;
+        play(&mut fleet, 12.0, rate * 6.0);
+        let admitted: f64 =
+            fleet.counts.admitted.iter().filter(|(at, _)| *at >= begun).map(|(_, cost)| cost).sum();
+        let seconds = (fleet.now - begun).as_secs_f64();
+        assert!(admitted > 0.93 * rate * seconds, "seed {seed}: {:.3}", admitted / rate / seconds);
+    }
+}
