Let requests wait for a node that has just started while that may be in time

Cause: a node without a configuration let a request wait until 250 ms after its start and sent it away then, to come back 1.3 s after the start. A fleet that has lost all power is ready 0.3 to 0.7 s after its nodes start: most of these requests would have been in time, and those that had come back from a node without power had no second try left.

Change: they wait until 700 ms after the start; who is sent away comes back 900 ms after it. A node that is not ready by then refuses at once, with when to come back.

Ruled out: sending away at once (earns the mean of in time and late at best, nothing for a second try).

--- a/crates/policy/src/recovery.rs
+++ b/crates/policy/src/recovery.rs
@@ -28,8 +28,8 @@
 impl Default for Recovery {
     fn default() -> Self {
         Recovery {
-            ready_after: Duration::from_millis(1300),
-            waits_from_start: Duration::from_millis(250),
+            ready_after: Duration::from_millis(900),
+            waits_from_start: Duration::from_millis(700),
             soonest_back: Duration::from_millis(300),
             spread: Duration::from_millis(100),
         }
