Write requests to backends without a copy of their bodies

Cause: the watched connection to a backend did not offer vectored writes, so that the HTTP library copied each body behind its head into a buffer that the connection keeps for as long as it lasts, up to the largest body that it ever carried. A body that tells its length also grew by doubling while it was read.

Change: vectored writes, with the same last look before the first byte; the room for a body is taken at once where its length is told.

--- a/crates/marlwinch/src/boxes/watched.rs
+++ b/crates/marlwinch/src/boxes/watched.rs
@@ -8,7 +8,7 @@
 use crate::wire::body::Upload;
 use exchange::attempt::Stage;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -258,6 +258,28 @@
     pub fn into_stream(mut self) -> Option<TcpStream> {
         self.stream.take()
     }
+    /// The last look before the system has the first of a request. A process that is stopped between here and the write itself
+    /// sends a request that it picked up in time; nothing on this side of the socket can prevent that.
+    fn look(mut self: Pin<&mut Self>) -> io::Result<()> {
+        if !self.progress.is_untouched() {
+            return Ok(());
+        }
+        let lapsed = self.progress.permit.borrow().as_ref().is_some_and(|permit| !permit.holds());
+        if self.pauses.as_ref().is_some_and(|pauses| pauses.look()) || lapsed {
+            self.progress.held_back.set(true);
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        // Asks the socket itself; the runtime may not have heard yet. Anything to read is out of turn.
+        match socket2::SockRef::from(&*self.stream()?).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            peeked => {
+                if peeked.is_ok_and(|count| count > 0) {
+                    self.came();
+                }
+                Err(io::ErrorKind::NotConnected.into())
+            }
+        }
+    }
     fn stream<'a>(self: &'a mut Pin<&mut Self>) -> io::Result<Pin<&'a mut TcpStream>> {
         self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
     }
@@ -290,25 +312,7 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if self.progress.is_untouched() {
-            // The last look before the system has it. A process that is stopped between here and the write itself sends a
-            // request that it picked up in time; nothing on this side of the socket can prevent that.
-            let lapsed = self.progress.permit.borrow().as_ref().is_some_and(|permit| !permit.holds());
-            if self.pauses.as_ref().is_some_and(|pauses| pauses.look()) || lapsed {
-                self.progress.held_back.set(true);
-                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-            }
-            // Asks the socket itself; the runtime may not have heard yet. Anything to read is out of turn.
-            match socket2::SockRef::from(&*self.stream()?).peek(&mut [MaybeUninit::uninit()]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                peeked => {
-                    if peeked.is_ok_and(|count| count > 0) {
-                        self.came();
-                    }
-                    return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
-                }
-            }
-        }
+        self.as_mut().look()?;
         let written = self.stream()?.poll_write(cx, bytes);
         if let Poll::Ready(Ok(count)) = &written {
             self.progress.written(&bytes[..*count]);
@@ -316,6 +320,28 @@
         }
         written
     }
+    // Without this, a body would be copied behind its head into a buffer that the connection keeps for as long as it lasts.
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        pieces: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        self.as_mut().look()?;
+        let written = self.stream()?.poll_write_vectored(cx, pieces);
+        if let Poll::Ready(Ok(count)) = &written {
+            let mut left = *count;
+            for piece in pieces {
+                let part = left.min(piece.len());
+                self.progress.written(&piece[..part]);
+                left -= part;
+            }
+            self.progress.count_whole();
+        }
+        written
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.as_ref().is_some_and(AsyncWrite::is_write_vectored)
+    }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         self.stream()?.poll_flush(cx)
     }
--- a/crates/marlwinch/src/data_plane/intake.rs
+++ b/crates/marlwinch/src/data_plane/intake.rs
@@ -277,7 +277,8 @@
     let kib = told.map_or(KIB_IN_CHUNKS, |told| told.div_ceil(1 << 10) as u32);
     let room = |kib| node.room_in_hand.clone().try_acquire_many_owned(kib).map_err(|_| Own::Refused(NO_ROOM));
     let mut held_room = room(kib)?;
-    let (begun, mut come) = (Instant::now(), BytesMut::new());
+    let mut come = BytesMut::with_capacity(told.unwrap_or_default() as usize);
+    let begun = Instant::now();
     while !body.is_end_stream() {
         let frame = timeout_at(begun + time_for(come.len() as u64), body.frame()).await;
         let Some(frame) = frame.map_err(|_| Own::Slow)? else { break };
--- a/deploy/experiments/compare.py
+++ b/deploy/experiments/compare.py
@@ -68,6 +68,15 @@
     return results
 
 
+def copy_built(built, place):
+    """What is built, without a second copy of the libraries, which are most of it and which a build replaces, never rewrites."""
+    place.mkdir(parents=True)
+    for entry in built.iterdir():
+        if entry.name not in ("incremental", "examples"):
+            how = "-al" if entry.name == "deps" else "-a"
+            subprocess.run(["cp", how, str(entry), str(place)], check=True)
+
+
 def prepare(checkout, work, name, text):
     """A checkout of the variant's own, with its policy in the deploy file."""
     if text.startswith("checkout:"):
@@ -82,8 +91,7 @@
     for entry in checkout.iterdir():
         if entry.name not in LEFT_OUT:
             subprocess.run(["cp", "-a", str(entry), str(partial)], check=True)
-    (partial / "target").mkdir()
-    subprocess.run(["cp", "-a", str(checkout / "target" / COPIED_FROM_TARGET), str(partial / "target")], check=True)
+    copy_built(checkout / "target" / COPIED_FROM_TARGET, partial / "target" / COPIED_FROM_TARGET)
     (partial / "journal").mkdir()
     subprocess.run(["git", "init", "-q"], cwd=partial, check=True)
     if text.strip():
