Keep a prompt with the backends that have its parts although they are at the cap

Cause: with all candidates at m a request went to the lowest estimate of all backends, which keep nothing of its prompt. In a fleet of 82 nodes a node's part of a backend's places is one, m is 1 or 2, and one send without an idle sign since was enough: the 6,300 shared tokens were read again elsewhere, by another backend each time.

Change: where the candidates keep shared parts, the pick stays among them (the lowest below m, else a random one of them); news of load, silence, rests and full queues rule them out as before. routing.spills brings the old way back.

Test: in_a_large_fleet_a_shared_part_stays_where_it_is_although_a_send_there_is_under_way.

--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -10,6 +10,8 @@
 pub struct Routing {
     /// Whether the candidates are told apart by Join-Up-To(m)'s estimates; else one is drawn.
     pub estimate: bool,
+    /// Whether a prompt goes to any backend below m once all that keep its shared parts have reached m.
+    pub spills: bool,
     /// Whether prompts belong to backends by rendezvous hashing of their shared parts.
     pub rendezvous: bool,
     /// Whether an index of own sends says what a backend keeps.
@@ -77,6 +79,7 @@
     fn default() -> Self {
         Routing {
             estimate: true,
+            spills: false,
             rendezvous: true,
             index: true,
             copies: 1,
--- a/crates/routing/src/service/choose.rs
+++ b/crates/routing/src/service/choose.rs
@@ -100,7 +100,8 @@
             let missing = (prompt.tokens - kept).max(0.0);
             let missing_shared = (shared - kept).max(0.0);
             let loss = outlook.loss(backend, missing, missing_shared);
-            Candidate { at, missing, loss, first_ms: outlook.first_ms(backend, missing) }
+            let first_ms = outlook.first_ms(backend, missing);
+            Candidate { at, missing, loss, first_ms, keeps: kept > 0.0 && shared > 0.0 }
         };
         let rated: Vec<Candidate> = among.iter().copied().map(rate).collect();
         let best = rated.iter().map(|c| c.loss).min_by(f64::total_cmp).unwrap_or_default();
@@ -152,8 +153,10 @@
         among.iter().copied().find(|at| self.backends[*at].health.is_resting())
     }
 
-    /// Join-Up-To(m): the lowest estimate strictly below m of the candidates, else of all, ties at random; with
-    /// every estimate at m a random one of all, where a cold one counts by its share.
+    /// Join-Up-To(m): the lowest estimate strictly below m of the candidates, ties at random. With all of them at m, the
+    /// same of all, and with every estimate at m a random one of all, where a cold one counts by its share; but where
+    /// the candidates keep parts of the prompt, a random one of them: in a large fleet m is 1 or 2, and whoever has one
+    /// send there without a sign since would have the parts read by all backends in turn.
     pub(super) fn pick(&mut self, now: Duration, candidates: &[Candidate], all: &[usize]) -> usize {
         let cap = self.own.cap();
         let estimate = |at: &usize| {
@@ -164,11 +167,13 @@
         if !self.policy.estimate {
             return near.choose(&mut self.random).copied().unwrap_or(all[0]);
         }
-        let ties =
-            join::lowest_below(&near, estimate, cap).or_else(|| join::lowest_below(all, estimate, cap));
+        let stays = !self.policy.spills && candidates.iter().any(|candidate| candidate.keeps);
+        let beyond = || if stays { None } else { join::lowest_below(all, estimate, cap) };
+        let ties = join::lowest_below(&near, estimate, cap).or_else(beyond);
         if let Some(at) = ties.and_then(|ties| ties.choose(&mut self.random).copied()) {
             return at;
         }
+        let all = if stays { &near } else { all };
         let weight = |at: &usize| self.backends[*at].warmth(now);
         all.choose_weighted(&mut self.random, weight).copied().unwrap_or(all[0])
     }
@@ -231,6 +236,8 @@
     pub missing: f64,
     loss: f64,
     first_ms: f64,
+    /// Whether it is believed to keep shared parts of the prompt.
+    keeps: bool,
 }
 
 impl Candidate {
--- a/crates/routing/tests/places.rs
+++ b/crates/routing/tests/places.rs
@@ -135,3 +135,22 @@
     let (cold, warm) = (share(0), share(20_000));
     assert!(cold < 50 && warm > 60, "{cold} of 400 cold, {warm} warm");
 }
+
+/// A node of a large fleet, whose part of a backend's places is one, with what it sends while nothing is answered.
+fn large_fleet(spills: bool) -> (BackendId, BackendId) {
+    let policy = RoutingPolicy { spills, ..RoutingPolicy::default() };
+    let mut service = Service::with_policy(Some(ENGINE), 82, 1, policy);
+    let with_slots = entries(140).into_iter().map(|entry| BackendEntry { slots: 12, ..entry });
+    service.replace_backends(Duration::ZERO, with_slots.collect());
+    let first = sent(&service.decide(ms(10), &form(7, 1), &[])).1;
+    let second = sent(&service.decide(ms(60), &form(7, 2), &[])).1;
+    (first, second)
+}
+
+#[test]
+fn in_a_large_fleet_a_shared_part_stays_where_it_is_although_a_send_there_is_under_way() {
+    let (first, second) = large_fleet(false);
+    assert_eq!(first, second);
+    let (first, second) = large_fleet(true);
+    assert_ne!(first, second, "it spills over where that is on");
+}
