--- a/crates/control/src/link/socket.rs
+++ b/crates/control/src/link/socket.rs
@@ -25,7 +25,7 @@
 }
 
 /// Opens a connection, within [`CONNECT_WITHIN`]. While nothing answers, another opening packet goes out every
-/// [`DIAL_AGAIN`], on a socket of its own, and the first connection that comes up is taken: a machine that gets its power back
+/// 60 ms, on a socket of its own, and the first connection that comes up is taken: a machine that gets its power back
 /// has lost the packets before, and is found at once.
 pub async fn connect(to: SocketAddrV4) -> Result<TcpStream, LinkError> {
     let peer = SocketAddr::V4(to);
