Take one list that two coordinators have read for no change

Cause: since nobody waits for a coordinator that is not heard, two that start at the same moment may both read the list.

Change: a list that differs from the one in hand by its version alone confirms it. Test: one_list_of_two_readers_is_no_change fails without it. Ruled out: going back to the long wait (all nodes without a list for 0.2 s more after a loss of power).

--- a/crates/control/src/coordinator/backends/succession.rs
+++ b/crates/control/src/coordinator/backends/succession.rs
@@ -172,14 +172,14 @@
             _ => return Outcome::Wanted,
         };
         (self.version, self.read_at, self.reader) = (news.version, now, Some(from));
-        match backends {
-            Some(backends) => {
-                self.content = news.content;
-                self.changes = None;
-                self.take(backends)
-            }
-            None => Outcome::Confirmed,
+        let Some(backends) = backends else { return Outcome::Confirmed };
+        self.content = news.content;
+        self.changes = None;
+        // Two that read at the same time, as after a loss of power, have told one list under two versions.
+        if self.backends.as_ref().is_some_and(|known| is_same(known, &backends)) {
+            return Outcome::Confirmed;
         }
+        self.take(backends)
     }
 
     /// An agent has a list of this version, which others gave it. A reader that is behind reads at once, as its lists are
--- a/crates/control/tests/succession.rs
+++ b/crates/control/tests/succession.rs
@@ -74,6 +74,23 @@
     assert_eq!(wait(&first, everybody), wait(&first, |_| false));
 }
 
+#[test]
+fn one_list_of_two_readers_is_no_change() {
+    let [mut first, mut second, _] = three();
+    let (old, new) = (first.begin(), second.begin());
+    assert!(matches!(first.done(old, ready(&["a", "b"]), START), Outcome::Changed(_)));
+    assert!(matches!(second.done(new, ready(&["b", "a"]), START), Outcome::Changed(_)));
+    let (mut ahead, mut behind) = if new > old { (second, first) } else { (first, second) };
+    let news = ahead.whole().expect("news");
+    assert_eq!(behind.told(address(9), news.clone(), START), Outcome::Confirmed);
+    assert_eq!(behind.list(), ahead.list());
+    // What it is told next builds on the list of the other.
+    let version = ahead.begin();
+    ahead.done(version, ready(&["a"]), START);
+    assert!(matches!(behind.told(address(9), ahead.newest().expect("news"), START), Outcome::Changed(_)));
+    assert_eq!(behind.list(), ahead.list());
+}
+
 #[test]
 fn the_first_reads_and_the_others_wait_longer_by_their_rank() {
     let [first, second, third] = three_with_a_list();
