Decide views on slow disks: a slow disk is left out only where enough others remain

Cause: a member whose oldest write was over 600 ms old reported its disk as bad, and a bad disk was in no view that anybody wanted. Where too few others remained, no view was wanted at all. Voters also preempted each other's proposals: the next one by rank proposed 120 ms after the first, whose promises took a write of each voter, so that none was ever decided from some 200 ms a write on.

Change: - Disks are healthy, slow (writes complete, after 600 ms and more) or failed (rejecting, or nothing completed for 3.5 s). A heartbeat says `slow` beside `trouble`; it is left out where it is not so, and earlier programs pass over it. - A view takes members with slow disks only where those with healthy ones are too few, and then as few as a chain needs, as a change waits for each disk in turn. - A slow disk is written to after 0.5 s of silence, so that its member rejoins once it is quick again. - Time-outs, ranks and back-offs of proposers grow with the time of writes that they know of and with each failed attempt; a voter that has promised leaves the proposer that time.

messages.txt, records.txt, leniency.txt and both files of older programs are as they were.

--- a/crates/replication/src/durability.rs
+++ b/crates/replication/src/durability.rs
@@ -1,13 +1,28 @@
 //! Records on their way to the disk, and what has to wait until they are durable.
 
+use crate::disk_health::DiskHealth;
 use crate::identifiers::{MemberId, WriteId};
 use crate::message::MessageBody;
 use crate::register::{EntryKey, ReplicationProgress};
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// How long a write may take before the disk counts as hanging.
-const HANG_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a write may take before the disk counts as slow.
+const SLOW_AFTER: Duration = Duration::from_millis(600);
+
+/// A disk that counts as slow is no longer slow with a write that takes less than this. Guards against members that leave and
+/// rejoin the chain with every other write.
+const FAST_WITHIN: Duration = Duration::from_millis(300);
+
+/// How long nothing is written to a slow disk before a probe is. Real writes wait for a probe that is under way.
+const PROBE_AFTER: Duration = Duration::from_millis(500);
+
+/// How long a write may take before the disk counts as hanging. Longer than two syncs of a disk that takes 1 s for each: a
+/// write waits for the batch before it.
+const HANG_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// The most that the time of one write counts for in time-outs, so that one long stall does not delay the next view change.
+const MAX_WRITE_TIME: Duration = Duration::from_millis(1_500);
 
 /// How often a disk that rejected a write is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -43,6 +58,12 @@
 pub(crate) struct WriteTracker {
     next: u64,
     pending: VecDeque<PendingWrite>,
+    /// How long the write took that was completed last, from its order on.
+    last_write_time: Duration,
+    /// Whether the disk was slow when a write was completed last.
+    is_slow: bool,
+    /// When a write was completed last.
+    completed_at: Duration,
     /// Since when the disk rejects writes.
     rejecting_since: Option<Duration>,
     /// The rewrite under way.
@@ -57,6 +78,9 @@
         WriteTracker {
             next: 1,
             pending: VecDeque::new(),
+            last_write_time: Duration::ZERO,
+            is_slow: false,
+            completed_at: Duration::ZERO,
             rejecting_since: None,
             rewrite: None,
             appended_bytes,
@@ -83,18 +107,30 @@
     }
 
     /// Returns what is to be done now that this record, and every one before it, is durable.
-    pub(crate) fn complete(&mut self, id: WriteId) -> Vec<DurableAction> {
+    pub(crate) fn complete(&mut self, now: Duration, id: WriteId) -> Vec<DurableAction> {
         if self.rewrite.is_some_and(|rewrite| rewrite <= id) {
             self.rewrite = None;
             self.rejecting_since = None;
         }
         let mut actions = Vec::new();
-        while self.pending.front().is_some_and(|first| first.id <= id) {
-            actions.extend(self.pending.pop_front().map(|first| first.action));
+        let completed = self.pending.iter().take_while(|write| write.id <= id).count();
+        for write in self.pending.drain(..completed).collect::<Vec<_>>() {
+            self.record_write_time(now, now.saturating_sub(write.ordered_at));
+            actions.push(write.action);
         }
         actions
     }
 
+    fn record_write_time(&mut self, now: Duration, time: Duration) {
+        self.completed_at = now;
+        self.last_write_time = time;
+        if time > SLOW_AFTER {
+            self.is_slow = true;
+        } else if time < FAST_WITHIN {
+            self.is_slow = false;
+        }
+    }
+
     /// The disk has rejected a write: nothing pending becomes durable.
     pub(crate) fn fail(&mut self, now: Duration, id: WriteId) {
         let is_pending = self.pending.iter().any(|write| write.id == id);
@@ -126,9 +162,27 @@
         self.rewrite.is_none() && self.appended_bytes > REWRITE_AFTER_BYTES + 2 * self.rewritten_bytes
     }
 
-    /// Whether the disk hangs or rejects writes.
-    pub(crate) fn is_unhealthy(&self, now: Duration) -> bool {
-        let hangs = self.pending.front().is_some_and(|first| now > first.ordered_at + HANG_TIMEOUT);
-        hangs || self.is_rejecting()
+    /// Whether a write is to be ordered only to learn whether the disk is still slow: nothing was written for a while.
+    pub(crate) fn needs_probe(&self, now: Duration) -> bool {
+        let has_rested = now >= self.completed_at + PROBE_AFTER;
+        self.is_slow && self.is_idle() && has_rested && !self.is_rejecting()
+    }
+
+    /// How long a write takes at present, at most [`MAX_WRITE_TIME`]. Time-outs that wait for writes grow with it.
+    pub(crate) fn write_time(&self) -> Duration {
+        self.last_write_time.min(MAX_WRITE_TIME)
+    }
+
+    /// The state of the disk.
+    pub(crate) fn disk_health(&self, now: Duration) -> DiskHealth {
+        let oldest =
+            self.pending.front().map_or(Duration::ZERO, |first| now.saturating_sub(first.ordered_at));
+        if self.is_rejecting() || oldest > HANG_TIMEOUT {
+            DiskHealth::Failed
+        } else if self.is_slow || oldest > SLOW_AFTER {
+            DiskHealth::Slow
+        } else {
+            DiskHealth::Healthy
+        }
     }
 }
--- a/crates/replication/src/fault.rs
+++ b/crates/replication/src/fault.rs
@@ -37,6 +37,12 @@
     KeepsUncommitted,
     /// A member whose disk hangs or rejects writes does not report it.
     HidesDiskFailure,
+    /// No slow disk is accepted in a chain, however few others remain.
+    RefusesSlowDisks,
+    /// A disk that was slow is not written to in order to learn whether it still is.
+    NeverProbesDisk,
+    /// A disk that has rejected a write is not tried again.
+    NeverRetriesDisk,
     /// That a member is not heard by others is ignored.
     IgnoresOneWayPartitions,
     /// No member is appended to the chain again.
--- a/crates/replication/src/heartbeats.rs
+++ b/crates/replication/src/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Sending and receiving heartbeats.
 
+use crate::disk_health::DiskHealth;
 use crate::identifiers::{MemberId, ViewNumber};
 use crate::message::{Heartbeat, MessageBody};
 use crate::model::Member;
@@ -42,11 +43,13 @@
     }
 
     pub(crate) fn own_heartbeat(&self) -> Heartbeat {
+        let disk = self.own_disk_health();
         Heartbeat {
             member: self.me(),
             incarnation: self.incarnation,
             sent_ms: u64::try_from(self.now.as_millis()).unwrap_or(u64::MAX),
-            disk_unhealthy: self.writes.is_unhealthy(self.now) && !planted!(self, HidesDiskFailure),
+            disk_unhealthy: disk != DiskHealth::Healthy,
+            disk_slow: disk == DiskHealth::Slow,
             shutting_down: self.shutting_down,
             complete: self.chain.durable_progress.complete,
             synced: self.progress.synced,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -30,6 +30,7 @@
 mod catch_up;
 mod chain;
 mod chain_state;
+mod disk_health;
 mod durability;
 #[cfg(feature = "planted-faults")]
 mod fault;
--- a/crates/replication/src/membership.rs
+++ b/crates/replication/src/membership.rs
@@ -1,11 +1,12 @@
 //! What this member knows of the others, and which view it wants to follow.
 
+use crate::disk_health::DiskHealth;
 use crate::identifiers::MemberId;
 use crate::message::Heartbeat;
 use crate::model::{Member, View};
 use crate::register::ReplicationProgress;
 use crate::replica::Replica;
-use crate::view_planning::{ClusterState, MemberStatus, forced_view, next_view};
+use crate::view_planning::{AcceptedSlowDisks, ClusterState, MemberStatus, forced_view, next_view};
 use std::time::Duration;
 
 /// How long a voter must be silent before a member outside the view replaces it.
@@ -34,7 +35,9 @@
             me: self.id,
             tolerated_failures: self.settings.tolerated_failures,
             members: members.iter().map(|member| self.member_status(view, member)).collect(),
+            accepted_slow_disks: AcceptedSlowDisks::None,
             disconnected: self.disconnected_pairs(&members),
+            refuses_slow_disks: planted!(self, RefusesSlowDisks),
             ignores_evidence: planted!(self, ForcesWithoutEvidence),
         })
     }
@@ -59,7 +62,8 @@
         let Some(peer) = self.peers.get(member.id) else {
             return MemberStatus {
                 member: member.clone(),
-                healthy: self.is_vouched_for(view, member.id),
+                reachable: self.is_vouched_for(view, member.id),
+                disk: DiskHealth::Healthy,
                 complete: false,
                 progress: ReplicationProgress::default(),
                 gave_up_sync: false,
@@ -75,7 +79,8 @@
         let is_steady = self.peers.is_steady(self.now, member.id) && !planted!(self, NeverAppends);
         MemberStatus {
             member: heartbeat.member.clone(),
-            healthy: heard && !heartbeat.disk_unhealthy && !heartbeat.shutting_down,
+            reachable: heard && !heartbeat.shutting_down,
+            disk: heartbeat.disk_health(),
             complete: heartbeat.complete == view.number || planted!(self, AnyMemberLeads),
             progress: ReplicationProgress { synced: heartbeat.synced, complete: heartbeat.complete },
             gave_up_sync: heartbeat.gave_up_sync,
@@ -89,8 +94,8 @@
     fn own_status(&self, view: &View) -> MemberStatus {
         MemberStatus {
             member: self.me(),
-            healthy: !self.shutting_down
-                && (!self.writes.is_unhealthy(self.now) || planted!(self, HidesDiskFailure)),
+            reachable: !self.shutting_down,
+            disk: self.own_disk_health(),
             complete: self.chain.durable_progress.complete == view.number || planted!(self, AnyMemberLeads),
             progress: ReplicationProgress {
                 synced: self.progress.synced,
@@ -104,6 +109,13 @@
         }
     }
 
+    pub(crate) fn own_disk_health(&self) -> DiskHealth {
+        if planted!(self, HidesDiskFailure) {
+            return DiskHealth::Healthy;
+        }
+        self.writes.disk_health(self.now)
+    }
+
     /// Whether this member is outside the chain and takes the chain's word that a member is there: it must not break up a chain only
     /// because it does not hear all of it itself.
     fn is_vouched_for(&self, view: &View, id: MemberId) -> bool {
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between replicas. Types, variants and fields that were renamed are serialized under the names that deployed programs
 //! know.
 
+use crate::disk_health::DiskHealth;
 use crate::identifiers::{ConfirmationRound, Incarnation, MemberId, RequestId, Sequence, ViewNumber};
 use crate::model::{Change, Entry, Member, RequestOutcome, View};
 use crate::register::{EntryKey, StateTransfer};
@@ -166,9 +167,12 @@
     /// The sender's clock in milliseconds.
     #[serde(rename = "sent")]
     pub(crate) sent_ms: u64,
-    /// Whether its disk hangs or rejects writes.
+    /// Whether its disk is slow, hangs or rejects writes.
     #[serde(rename = "trouble")]
     pub(crate) disk_unhealthy: bool,
+    /// Whether its disk is slow and completes writes all the same. Left out where it is not, as earlier versions did.
+    #[serde(rename = "slow", default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) disk_slow: bool,
     /// Whether its process is shutting down.
     #[serde(rename = "leaving")]
     pub(crate) shutting_down: bool,
@@ -189,6 +193,17 @@
     pub(crate) heard: Vec<HeardPeer>,
 }
 
+impl Heartbeat {
+    /// The state of the sender's disk.
+    pub(crate) fn disk_health(&self) -> DiskHealth {
+        match (self.disk_unhealthy, self.disk_slow) {
+            (false, _) => DiskHealth::Healthy,
+            (true, true) => DiskHealth::Slow,
+            (true, false) => DiskHealth::Failed,
+        }
+    }
+}
+
 /// A member whose heartbeats the sender of a heartbeat receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct HeardPeer {
--- a/crates/replication/src/persistence.rs
+++ b/crates/replication/src/persistence.rs
@@ -121,7 +121,7 @@
     }
 
     pub(crate) fn write_completed(&mut self, id: WriteId) {
-        for action in self.writes.complete(id) {
+        for action in self.writes.complete(self.now, id) {
             self.perform(action);
         }
     }
@@ -144,10 +144,16 @@
         self.send_heartbeats();
     }
 
-    /// Rewrites the log when it is long, and retries a disk that rejected a write.
+    /// Rewrites the log when it is long, retries a disk that rejected a write, and probes one that was slow.
     pub(crate) fn tick_disk(&mut self) {
+        let probes = self.identity_durable && !planted!(self, NeverProbesDisk);
+        if probes && self.writes.needs_probe(self.now) {
+            let action = self.advance_durable_action();
+            self.store(RecordBody::Synced(self.progress.synced), action);
+        }
         let is_long = self.writes.needs_rewrite() && !self.writes.is_rejecting();
-        if self.writes.is_retry_due(self.now) || is_long {
+        let retries = !planted!(self, NeverRetriesDisk);
+        if (retries && self.writes.is_retry_due(self.now)) || is_long {
             self.rewrite();
         }
     }
--- a/crates/replication/src/view_change.rs
+++ b/crates/replication/src/view_change.rs
@@ -1,10 +1,11 @@
 //! View changes: this member as acceptor and as proposer of the next view, in the Paxos synod of the voters.
 
+use crate::disk_health::DiskHealth;
 use crate::durability::DurableAction;
 use crate::identifiers::{MemberId, ViewNumber};
 use crate::message::{MessageBody, Proposal, ProposalNumber};
-use crate::model::View;
-use crate::paxos::{Attempt, AttemptKind, Phase, PrepareResult, VoterPromise};
+use crate::model::{Member, View};
+use crate::paxos::{ATTEMPT_TIMEOUT, Attempt, AttemptKind, Phase, PrepareResult, VoterPromise};
 use crate::record::RecordBody;
 use crate::replica::Replica;
 use rand::Rng;
@@ -14,15 +15,26 @@
 /// How much longer each next member waits before it proposes, so that the first is done by then.
 const RANK_DELAY: Duration = Duration::from_millis(120);
 
-/// The most that an attempt may take. The timeout doubles with each attempt that reaches it, as disks may be slow, and an attempt
-/// needs two writes one after the other.
-const MAX_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// The most that an attempt may take. The timeout doubles with each attempt that fails, as disks may be slow, and an attempt
+/// needs two writes one after the other at each of a majority.
+const MAX_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(6_400);
+
+/// The least that an attempt may take on a slow disk, in writes of this member: two one after the other, each of which may wait
+/// for the one before it.
+const ATTEMPT_TIMEOUT_IN_WRITES: u32 = 4;
+
+/// How long a write of a voter is expected to take that reports a slow disk.
+const SLOW_WRITE_TIME: Duration = Duration::from_millis(800);
+
+/// For how many writes of this member another voter's proposal is left alone, so that proposers on slow disks do not preempt each
+/// other for ever.
+const PROPOSAL_TIME_IN_WRITES: u32 = 2;
 
 /// How often the request of an attempt is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(300);
 
-/// The longest backoff after a failed attempt, in ms.
-const MAX_BACKOFF_MS: u64 = 250;
+/// The longest backoff after a failed attempt.
+const MAX_BACKOFF: Duration = Duration::from_millis(250);
 
 /// How long an accepted view may be undecided before another voter proposes it again: its proposer may have failed.
 const UNDECIDED_TIMEOUT: Duration = Duration::from_millis(300);
@@ -33,9 +45,8 @@
 impl Replica {
     /// Proposes a view if one is wanted and it is this member's turn.
     pub(crate) fn tick_view_change(&mut self) {
-        let timeout = self.attempt_timeout;
+        let timeout = self.attempt_timeout.max(self.expected_write_time() * ATTEMPT_TIMEOUT_IN_WRITES);
         if self.attempt.as_ref().is_some_and(|attempt| self.now >= attempt.started_at + timeout) {
-            self.attempt_timeout = (self.attempt_timeout * 2).min(MAX_ATTEMPT_TIMEOUT);
             self.abandon_attempt();
         }
         self.resend_attempt();
@@ -87,7 +98,24 @@
     fn rank_delay(&self, wanted: &View) -> Duration {
         let in_chain = wanted.chain.iter().position(|id| *id == self.id);
         let rank = in_chain.unwrap_or(wanted.chain.len() + self.voter_rank());
-        RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX)
+        self.proposal_time(RANK_DELAY) * u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+
+    /// How long another voter's proposal may take on disks like this member's, and on those that its own attempts have shown
+    /// to be slow: at least `shortest`.
+    fn proposal_time(&self, shortest: Duration) -> Duration {
+        let on_known_disks = self.expected_write_time() * PROPOSAL_TIME_IN_WRITES;
+        let after_failures = shortest.mul_f64(self.attempt_timeout.div_duration_f64(ATTEMPT_TIMEOUT));
+        on_known_disks.max(after_failures)
+    }
+
+    /// How long a voter's write is expected to take: as long as one of this member, or of a slow disk where a voter has one.
+    fn expected_write_time(&self) -> Duration {
+        let is_slow = |voter: &Member| {
+            self.peers.get(voter.id).is_some_and(|peer| peer.heartbeat.disk_health() == DiskHealth::Slow)
+        };
+        let of_others = if self.voters().iter().any(is_slow) { SLOW_WRITE_TIME } else { Duration::ZERO };
+        self.writes.write_time().max(of_others)
     }
 
     fn voter_rank(&self) -> usize {
@@ -95,7 +123,8 @@
     }
 
     fn is_undecided_overdue(&self) -> bool {
-        let delay = UNDECIDED_TIMEOUT + RANK_DELAY * u32::try_from(self.voter_rank()).unwrap_or(u32::MAX);
+        let rank = u32::try_from(self.voter_rank()).unwrap_or(u32::MAX);
+        let delay = self.proposal_time(UNDECIDED_TIMEOUT) + self.proposal_time(RANK_DELAY) * rank;
         self.acceptor.accepted.is_some() && self.now >= self.acceptor.accepted_at + delay
     }
 
@@ -111,8 +140,10 @@
 
     fn abandon_attempt(&mut self) {
         self.attempt = None;
-        let backoff = self.random.random_range(0..MAX_BACKOFF_MS);
-        self.no_attempt_before = self.now + Duration::from_millis(backoff);
+        self.attempt_timeout = (self.attempt_timeout * 2).min(MAX_ATTEMPT_TIMEOUT);
+        let longest_ms = u64::try_from(self.proposal_time(MAX_BACKOFF).as_millis()).unwrap_or(u64::MAX);
+        let backoff_ms = self.random.random_range(0..longest_ms);
+        self.no_attempt_before = self.now + Duration::from_millis(backoff_ms);
     }
 
     pub(crate) fn receive_prepare(
@@ -134,6 +165,7 @@
         }
         let is_repeated = self.acceptor.promised == Some(number);
         self.acceptor.promised = Some(number);
+        self.defer_to_proposer(sender);
         let accepted = self.acceptor.accepted.clone();
         let in_chain = self.chain_position().is_some();
         let synced = in_chain && self.progress.synced == self.view_number();
@@ -151,6 +183,15 @@
         self.store(RecordBody::Promise { slot, number, gave_up_sync }, action);
     }
 
+    /// Leaves another voter the time to have its proposal decided, before this member makes one of its own. Where disks are not
+    /// slow and no attempt has failed, the delay by rank is enough.
+    fn defer_to_proposer(&mut self, proposer: MemberId) {
+        if proposer != self.id {
+            let until = self.now + self.proposal_time(RANK_DELAY).saturating_sub(RANK_DELAY);
+            self.no_attempt_before = self.no_attempt_before.max(until);
+        }
+    }
+
     pub(crate) fn receive_accept(&mut self, sender: MemberId, slot: ViewNumber, proposal: Proposal) {
         if !self.may_vote(sender, slot) {
             return;
@@ -158,6 +199,7 @@
         if !self.allows(proposal.number) {
             return self.reject(sender, slot);
         }
+        self.defer_to_proposer(sender);
         let is_repeated = self.acceptor.accepted.as_ref() == Some(&proposal);
         self.acceptor.accept(self.now, proposal.clone());
         let accepted = MessageBody::Accepted { slot, number: proposal.number };
--- a/crates/replication/src/view_planning.rs
+++ b/crates/replication/src/view_planning.rs
@@ -1,5 +1,6 @@
 //! Reconfiguration: which view is to follow, as a pure function of the view in force and of what one member knows of the others.
 
+use crate::disk_health::DiskHealth;
 use crate::identifiers::{MemberId, ViewNumber};
 use crate::model::{Member, View};
 use crate::register::ReplicationProgress;
@@ -9,8 +10,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MemberStatus {
     pub(crate) member: Member,
-    /// It is heard (by this member, or by a member of the chain that is), its disk works and it is not shutting down.
-    pub(crate) healthy: bool,
+    /// It is heard (by this member, or by a member of the chain that is), and it is not shutting down.
+    pub(crate) reachable: bool,
+    /// The state of its disk.
+    pub(crate) disk: DiskHealth,
     /// It has all committed entries.
     pub(crate) complete: bool,
     /// How much of the committed state it reports to have.
@@ -27,12 +30,26 @@
     pub(crate) departed: bool,
 }
 
+/// Which members count as healthy although their disks are slow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AcceptedSlowDisks {
+    None,
+    /// Those of these members: too few others remain.
+    Of(Vec<MemberId>),
+    All,
+}
+
 /// What one member knows of the group.
+#[derive(Clone)]
 pub(crate) struct ClusterState {
     pub(crate) me: MemberId,
     pub(crate) tolerated_failures: usize,
     /// Voters and others.
     pub(crate) members: Vec<MemberStatus>,
+    /// Which slow disks are accepted.
+    pub(crate) accepted_slow_disks: AcceptedSlowDisks,
+    /// A deliberate fault: no slow disk is ever accepted.
+    pub(crate) refuses_slow_disks: bool,
     /// A deliberate fault: a healthy member with all committed entries does not prevent a forced view.
     pub(crate) ignores_evidence: bool,
     /// Pairs of which the first does not hear the second.
@@ -45,7 +62,45 @@
     }
 
     fn is_healthy(&self, id: MemberId) -> bool {
-        self.status(id).is_some_and(|status| status.healthy)
+        self.status(id).is_some_and(|status| self.meets_requirements(status))
+    }
+
+    fn meets_requirements(&self, status: &MemberStatus) -> bool {
+        if status.disk == DiskHealth::Slow && self.refuses_slow_disks {
+            return false;
+        }
+        let has_disk = match (status.disk, &self.accepted_slow_disks) {
+            (DiskHealth::Healthy, _) | (DiskHealth::Slow, AcceptedSlowDisks::All) => true,
+            (DiskHealth::Slow, AcceptedSlowDisks::Of(members)) => members.contains(&status.member.id),
+            (DiskHealth::Slow, AcceptedSlowDisks::None) | (DiskHealth::Failed, _) => false,
+        };
+        status.reachable && has_disk
+    }
+
+    fn accepting(&self, accepted_slow_disks: AcceptedSlowDisks) -> ClusterState {
+        ClusterState { accepted_slow_disks, ..self.clone() }
+    }
+
+    /// How many members a chain needs, so that what it commits survives the failures that are tolerated.
+    fn required_length(&self, voters: usize) -> usize {
+        self.tolerated_failures.min(voters.saturating_sub(1)) + 1
+    }
+
+    /// As many members with slow disks as a chain needs beside those with healthy ones. A change waits for each disk of the
+    /// chain in turn, so that more of them would only delay it.
+    fn fewest_slow_disks(&self, view: &View) -> AcceptedSlowDisks {
+        let voters = view.voters.iter().map(|voter| voter.id);
+        let in_order: Vec<MemberId> = view.chain.iter().copied().chain(voters).collect();
+        let healthy = view.voters.iter().filter(|voter| self.is_healthy(voter.id)).count();
+        let missing = self.required_length(view.voters.len()).saturating_sub(healthy);
+        let mut accepted = Vec::new();
+        for id in in_order {
+            let is_slow = self.status(id).is_some_and(|status| status.disk == DiskHealth::Slow);
+            if is_slow && accepted.len() < missing && !accepted.contains(&id) {
+                accepted.push(id);
+            }
+        }
+        AcceptedSlowDisks::Of(accepted)
     }
 
     fn is_complete(&self, id: MemberId) -> bool {
@@ -61,9 +116,32 @@
     }
 }
 
-/// The view that should follow; `None` if this one is as it should be or no better one is possible.
+/// What should become of the view in force.
+enum Plan {
+    /// It is as it should be.
+    Keep,
+    /// This one should follow.
+    Change(View),
+    /// No view is possible that commits anything.
+    Impossible,
+}
+
+/// The view that should follow; `None` if this one is as it should be or no better one is possible. Members with slow disks are
+/// left out as long as enough others remain. Where they don't, a slow chain is better than none.
 pub(crate) fn next_view(view: &View, known: &ClusterState) -> Option<View> {
-    let survivors = survivors(view, known)?;
+    let choices = [AcceptedSlowDisks::None, known.fewest_slow_disks(view), AcceptedSlowDisks::All];
+    for accepted in choices {
+        match plan(view, &known.accepting(accepted)) {
+            Plan::Change(next) => return Some(next),
+            Plan::Keep => return None,
+            Plan::Impossible => {}
+        }
+    }
+    None
+}
+
+fn plan(view: &View, known: &ClusterState) -> Plan {
+    let Some(survivors) = survivors(view, known) else { return Plan::Impossible };
     let is_in_chain = view.chain.contains(&known.me);
     let voters = if is_in_chain { voters(view, known, &survivors) } else { view.voters.clone() };
     let retained: Vec<MemberId> = survivors.iter().copied().filter(|id| is_among(&voters, *id)).collect();
@@ -72,17 +150,15 @@
     // A member that gave up being synced in this view can be synced in the next one only.
     let gave_up_sync = |id: &MemberId| known.status(*id).is_some_and(|status| status.gave_up_sync);
     if chain == view.chain && voters == view.voters && !chain.iter().any(gave_up_sync) {
-        return None;
+        return Plan::Keep;
     }
     let chain = complete_first(chain, known);
-    let enough = chain.len() > known.tolerated_failures.min(voters.len().saturating_sub(1));
+    let enough = chain.len() >= known.required_length(voters.len());
     let is_led_by_complete = chain.first().is_some_and(|head| known.is_complete(*head));
-    (enough && is_led_by_complete).then(|| View {
-        number: view.number.next(),
-        voters,
-        chain,
-        idle_since: None,
-    })
+    if !enough || !is_led_by_complete {
+        return Plan::Impossible;
+    }
+    Plan::Change(View { number: view.number.next(), voters, chain, idle_since: None })
 }
 
 /// A forced reconfiguration: the view that should follow where no healthy member has all committed entries. Among the voters that
@@ -90,6 +166,7 @@
 /// was committed in a view if a member of its chain was never synced in it; for the view in force, the voters' promises have to show
 /// that.
 pub(crate) fn forced_view(view: &View, earlier: &VecDeque<View>, known: &ClusterState) -> Option<View> {
+    let known = &known.accepting(AcceptedSlowDisks::All);
     let healthy: Vec<MemberId> =
         view.voters.iter().map(|voter| voter.id).filter(|id| known.is_healthy(*id)).collect();
     let may_commit = healthy.iter().any(|id| known.is_complete(*id)) && !known.ignores_evidence;
@@ -106,7 +183,7 @@
     let mut chain = possible.max_by_key(Vec::len)?;
     let head = chain.remove(chain.iter().position(leads)?);
     chain.insert(0, head);
-    let enough = chain.len() > known.tolerated_failures.min(view.voters.len().saturating_sub(1));
+    let enough = chain.len() >= known.required_length(view.voters.len());
     let (number, voters) = (view.number.next(), view.voters.clone());
     enough.then_some(View { number, voters, chain, idle_since: Some(since) })
 }
@@ -174,7 +251,7 @@
 fn voters(view: &View, known: &ClusterState, survivors: &[MemberId]) -> Vec<Member> {
     let mut voters = view.voters.clone();
     let outside = known.members.iter().filter(|status| !is_among(&view.voters, status.member.id));
-    for newcomer in outside.filter(|status| status.healthy && status.appendable) {
+    for newcomer in outside.filter(|status| known.meets_requirements(status) && status.appendable) {
         if !known.linked_to_all(newcomer.member.id, survivors) {
             continue;
         }
@@ -202,7 +279,8 @@
 fn with_appended(retained: &[MemberId], voters: &[Member], known: &ClusterState) -> Vec<MemberId> {
     let mut chain = retained.to_vec();
     for voter in voters {
-        let is_ready = known.status(voter.id).is_some_and(|status| status.healthy && status.appendable);
+        let is_ready =
+            known.is_healthy(voter.id) && known.status(voter.id).is_some_and(|status| status.appendable);
         if is_ready && !chain.contains(&voter.id) && known.linked_to_all(voter.id, &chain) {
             chain.push(voter.id);
         }
--- a/crates/replication/tests/golden.rs
+++ b/crates/replication/tests/golden.rs
@@ -4,7 +4,9 @@
 //! is missing or differs fails with the place of the first difference. The files are in `tests/golden`:
 //!
 //! - `messages.txt` and `records.txt`: messages and records as CBOR, in every form that they took in the plays of
-//!   `golden_files/plays.rs`. Each line of hexadecimal digits is one; the comment above it says the same in words.
+//!   `golden_files/plays.rs`. Each line of hexadecimal digits is one; the comment above it says the same in words. `messages.txt`
+//!   is as it was before members told of slow disks, and is not written anew: the plays still take all of its forms.
+//! - `slow-disk-messages.txt`: messages of the forms that came with slow disks.
 //! - `old-messages.txt` and `old-records.txt`: the same as older programs wrote them, without the fields that came later.
 //! - `leniency.txt`: which fields may be missing, and where fields that are not known are passed over.
 //! - `values.txt`: the values that the driver of a replica sees.
@@ -31,17 +33,47 @@
 
 static HARVEST: LazyLock<Harvest> = LazyLock::new(harvest);
 
+/// The text of `messages.txt`, which is never written anew.
 fn messages() -> String {
-    cbor::text("What replicas say to one another.", &HARVEST.messages)
+    golden_files::read("messages.txt")
 }
 
 fn records() -> String {
     cbor::text("What replicas keep on disk.", &HARVEST.records)
 }
 
+/// The forms that messages take.
+fn all_forms(messages: &[Value]) -> BTreeSet<String> {
+    messages.iter().flat_map(cbor::forms).collect()
+}
+
+/// Which of these messages have a form that no message of `messages.txt` has.
+fn messages_of_new_forms(messages: &[Value]) -> Vec<Value> {
+    let kept = all_forms(&golden_messages());
+    messages.iter().filter(|message| !cbor::forms(message).is_subset(&kept)).cloned().collect()
+}
+
+fn golden_messages() -> Vec<Value> {
+    values(&messages())
+}
+
+#[test]
+fn messages_take_all_forms_of_the_golden_file() {
+    let fresh = all_forms(&HARVEST.messages);
+    let gone: Vec<String> = all_forms(&golden_messages()).difference(&fresh).cloned().collect();
+    assert!(gone.is_empty(), "{gone:#?}");
+}
+
+#[test]
+fn messages_of_new_forms_match_the_golden_file() {
+    let new = messages_of_new_forms(&HARVEST.messages);
+    approve("slow-disk-messages.txt", &cbor::text("What members with slow disks say.", &new));
+}
+
 #[test]
-fn messages_match_the_golden_file() {
-    approve("messages.txt", &messages());
+fn golden_messages_of_new_forms_round_trip() {
+    let fresh = || cbor::text("What members with slow disks say.", &messages_of_new_forms(&HARVEST.messages));
+    hold_same_bytes::<Message>(&kept("slow-disk-messages.txt", fresh));
 }
 
 #[test]
@@ -66,7 +98,7 @@
 
 #[test]
 fn golden_messages_round_trip() {
-    hold_same_bytes::<Message>(&kept("messages.txt", messages));
+    hold_same_bytes::<Message>(&messages());
 }
 
 #[test]
@@ -140,7 +172,7 @@
 
 #[test]
 fn every_variant_occurs_in_golden_messages() {
-    assert_eq!(missing_forms::<Message>(&values(&kept("messages.txt", messages))), NEVER_SAID);
+    assert_eq!(missing_forms::<Message>(&golden_messages()), NEVER_SAID);
 }
 
 #[test]
@@ -183,7 +215,7 @@
 
 #[test]
 fn decoders_are_as_lenient_as_before() {
-    let messages = leniency::<Message>(&values(&kept("messages.txt", messages)));
+    let messages = leniency::<Message>(&golden_messages());
     let records = leniency::<Record>(&values(&kept("records.txt", records)));
     approve("leniency.txt", &format!("# Messages\n{messages}\n# Records\n{records}"));
 }
@@ -260,8 +292,7 @@
 
 #[test]
 fn messages_of_older_programs_are_read() {
-    let fresh =
-        || old_forms::<Message>("Messages of older programs.", &values(&kept("messages.txt", messages)));
+    let fresh = || old_forms::<Message>("Messages of older programs.", &golden_messages());
     approve("old-messages.txt", &fresh());
     hold_old_forms::<Message>(&kept("old-messages.txt", fresh));
 }
--- a/crates/replication/tests/golden_files/mod.rs
+++ b/crates/replication/tests/golden_files/mod.rs
@@ -16,9 +16,11 @@
 
 /// The text of a golden file; while golden files are written, what it is written with.
 pub fn kept(name: &str, fresh: impl FnOnce() -> String) -> String {
-    if is_writing() {
-        return fresh();
-    }
+    if is_writing() { fresh() } else { read(name) }
+}
+
+/// The text of a golden file as it is on the disk.
+pub fn read(name: &str) -> String {
     let path = path(name);
     std::fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
 }
--- a/crates/replication/tests/simulation/disk.rs
+++ b/crates/replication/tests/simulation/disk.rs
@@ -21,6 +21,8 @@
     /// Whether the log takes nothing but a rewrite, since an append has failed.
     broken: bool,
     pub full: bool,
+    /// How many more records fit before it is full.
+    pub room: Option<usize>,
     pub stalled_until: Duration,
     pub sync: Duration,
 }
@@ -72,7 +74,22 @@
             .collect()
     }
 
+    /// Uses up the room for one more record.
+    fn fill(&mut self) {
+        if let Some(room) = &mut self.room {
+            self.full |= *room == 0;
+            *room = room.saturating_sub(1);
+        }
+    }
+
+    /// Removes what filled it.
+    pub fn free(&mut self) {
+        self.full = false;
+        self.room = None;
+    }
+
     fn write(&mut self, order: &Order) -> bool {
+        self.fill();
         match order {
             Order::Append(_) if self.full || self.broken => self.broken = true,
             Order::Append(record) => self.records.push(encode(record)),
