--- a/crates/overload-simulation/src/simulation/clients.rs
+++ b/crates/overload-simulation/src/simulation/clients.rs
@@ -144,7 +144,11 @@
         if may_have_run && !is_repeatable {
             self.tally.violations.push(format!("request {} was refused though it may have run", id.0));
         }
-        self.tally.streams[stream].rejections += 1;
+        let remaining = request.deadline.saturating_sub(self.now);
+        let took = self.surge.streams[stream].timeout.saturating_sub(remaining);
+        let tally = &mut self.tally.streams[stream];
+        tally.rejections += 1;
+        tally.slowest_rejection = tally.slowest_rejection.max(took);
         let wait = match self.surge.streams[stream].retry {
             ClientRetry::WhenAllowed(max) if sends <= max => Some(retry_after),
             ClientRetry::AtOnce(max) if sends <= max => Some(RETRY_DELAY),
--- a/crates/overload-simulation/src/tally.rs
+++ b/crates/overload-simulation/src/tally.rs
@@ -2,6 +2,7 @@
 
 use admission_control::limit::LimitChange;
 use hdrhistogram::Histogram;
+use std::time::Duration;
 
 /// The longest latency that is distinguished, in microseconds.
 const MAX_LATENCY_US: u64 = 600_000_000;
@@ -15,6 +16,8 @@
     pub served: u64,
     /// Rejections: a client that retries may have had several.
     pub rejections: u64,
+    /// The longest time from the arrival of a request to its rejection.
+    pub slowest_rejection: Duration,
     /// Requests whose last response was a rejection.
     pub rejected: u64,
     /// Requests that failed.
@@ -30,7 +33,16 @@
         // The library accepts these bounds and digits in every case.
         let latency = Histogram::new_with_bounds(1, MAX_LATENCY_US, 3)
             .unwrap_or_else(|_| Histogram::new_from(&empty_histogram()));
-        StreamTally { arrived: 0, served: 0, rejections: 0, rejected: 0, failed: 0, work: 0.0, latency }
+        StreamTally {
+            arrived: 0,
+            served: 0,
+            rejections: 0,
+            slowest_rejection: Duration::ZERO,
+            rejected: 0,
+            failed: 0,
+            work: 0.0,
+            latency,
+        }
     }
 }
 
--- a/crates/overload-simulation/tests/surges.rs
+++ b/crates/overload-simulation/tests/surges.rs
@@ -312,6 +312,41 @@
     assert!(jain_index(&parts) > 0.99, "{}", jain_index(&parts));
 }
 
+/// The same surge as over sockets in `crates/marlwinch/tests/overload.rs`, without a machine that may be busy: whoever is not
+/// served within the time in the queue hears it then, and not later.
+#[test]
+fn rejections_come_when_the_time_in_the_queue_is_over() {
+    /// What a client waits for its response.
+    const TIMEOUT: Duration = Duration::from_secs(3);
+    /// A request without a time of its own may wait for a quarter of what is left.
+    const LONGEST: Duration = Duration::from_millis(750);
+    let backend = BackendSpec { cores: 2, speed: 1.0, queue: 1000, degraded_above: 3.0, degradation: 2.0 };
+    for rate in [100.0, 300.0, 900.0, 2_500.0] {
+        for seed in 1..=4 {
+            let streams = (0..4).map(|tenant| Stream {
+                tenant,
+                timeout: TIMEOUT,
+                retry: ClientRetry::WhenAllowed(3),
+                ..stream(rate / 4.0, ServiceTime::Exponential(0.06))
+            });
+            let mut surge = surge(&[backend; 2], 24, streams.collect());
+            surge.seed = seed;
+            let limits = LimitBounds { initial: 3.0, min: 3.0, max: 3.0, is_adaptive: false, nodes: 1.0 };
+            let gate = surge.gate.as_mut().expect("a gate");
+            gate.limits.bounds = Some(limits);
+            gate.tenants = tenants(&[(Some(0.5), 0.0), (Some(0.3), 0.0), (Some(0.2), 0.0), (Some(0.0), 4.0)]);
+            surge.settings.classes[0].deadline = TIMEOUT;
+            let tally = simulate(&surge);
+            assert_rules(&tally);
+            let slowest = tally.streams.iter().map(|stream| stream.slowest_rejection).max();
+            let rejections: u64 = tally.streams.iter().map(|stream| stream.rejections).sum();
+            println!("{rate} a second, seed {seed}: {rejections} rejections, the slowest after {slowest:?}");
+            assert!(rejections > 0, "{rate} a second, seed {seed}");
+            assert!(slowest.is_some_and(|took| took <= LONGEST), "{rate}, seed {seed}: {slowest:?}");
+        }
+    }
+}
+
 #[test]
 fn requests_with_the_least_value_for_their_time_are_rejected_first() {
     let mut surge = surge(&degrading_backends(), 30, Vec::new());
