Lists of backends and the index audit in the one world; early reports of the index are kept

Need: the one world had replicas, operators, agents, nodes and quota allocators, but neither lists of backends nor the audit, and all its messages kept one order. Now coordinators read a simulated platform (unreachable, slow, answers cut short), pass lists to each other (twice, late, out of order) and to agents over connections of which each keeps its own order; backends come, drain and go; links break in the middle of repairs by ranges; the acting head audits the index against caches that lose blocks.

Planted and noticed: versions given at the end of a read, versions that agents hide, reads that need a majority, answers of another backend.

--- a/crates/coordinator/src/agents/advertised_endpoints.rs
+++ b/crates/coordinator/src/agents/advertised_endpoints.rs
@@ -10,6 +10,7 @@
 pub struct AdvertisedEndpoints {
     /// The version of the newest read that saw it.
     pub version: BackendListVersion,
+    /// Its entries.
     pub endpoints: Arc<Vec<Backend>>,
     /// The same as a set whose ranges can be compared.
     digests: DigestedSet,
--- a/crates/coordinator/src/agents/mod.rs
+++ b/crates/coordinator/src/agents/mod.rs
@@ -4,6 +4,7 @@
 mod configuration_requests;
 mod connection;
 
+pub use advertised_endpoints::AdvertisedEndpoints;
 pub use configuration_requests::{
     AnswerableRequest, ConfigurationRequestId, PendingConfigurationRequests, ReadIndexTicket,
 };
@@ -11,7 +12,6 @@
 
 use crate::clock::Clock;
 use crate::membership::{RoleStatus, members_in_order};
-use advertised_endpoints::AdvertisedEndpoints;
 use bytes::Bytes;
 use connection::{AgentConnection, encode_frame};
 use control_link::FrameWriter;
--- a/crates/coordinator/src/index_audits/mod.rs
+++ b/crates/coordinator/src/index_audits/mod.rs
@@ -148,6 +148,10 @@
         let mut state = self.state();
         state.apply_endpoints(now, endpoints);
         state.forget_departed_frontends(now, &nodes);
+        if state.endpoints.is_some() && state.audit.as_mut().is_some_and(Audit::take_lost_reports) {
+            log::info!("index: reports came before the list of backends; asked for anew");
+            self.agents.broadcast(&ToAgent::IndexRequested);
+        }
         let Some(client) = state.client.clone() else { return };
         while let Some(request) = state.audit.as_mut().and_then(|audit| audit.next_request(now)) {
             let target = state.targets.get(&request.backend).cloned();
--- a/crates/coordinator/tests/one_world/fleet.rs
+++ b/crates/coordinator/tests/one_world/fleet.rs
@@ -1,20 +1,33 @@
 //! Coordinators around the simulated replicas, agents and nodes, and the messages between them.
 
+mod backend_caches;
+mod endpoint_lists;
+mod index_audits;
+mod platform;
+
 use super::frontend::{Frontend, RATE, TERMS, bound, tenant};
 use super::simulation::ms;
 use super::simulation::schedule::{STEP, Schedule};
+pub use endpoint_lists::ListCounts;
+
 use agent::{COORDINATOR_TIMEOUT, Effect, LinkId, POLL_INTERVAL};
+use backend_caches::BackendCaches;
 use control_protocol::{ConfigurationSequence, CoreMember, FromAgent, FromProxy, ToAgent, ToProxy};
 use coordinator::agents::{
     AgentConnectionId, ConfigurationRequestId, PendingConfigurationRequests, ReadIndexTicket,
 };
 use coordinator::membership::{RoleStatus, members_in_order};
 use coordinator::quotas::Quotas;
+use endpoint_lists::{CoordinatorList, ListChecks};
+use index_audits::{AuditRun, NamedMismatch};
 use node_settings::Bounds;
+use platform::Platform;
+pub use platform::PlatformTrouble;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use replication::{RequestId, RequestOutcome, Sequence, ViewNumber};
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// How long after a link has ended the agent opens another one.
@@ -37,6 +50,14 @@
     SendsUnconfirmed,
     /// A quota allocator that was suspended responds by what it was before.
     GrantsForEver,
+    /// A read gets its version when it ends, however long ago it saw the list.
+    VersionsAtEndOfRead,
+    /// Agents tell no coordinator of the versions that they have.
+    HidesVersions,
+    /// Coordinators that no majority hears read no list.
+    ReadsWithMajorityOnly,
+    /// An auditor takes what it observes once for a mismatch: the blocks of a frontend that it has not heard yet.
+    CorrectsWrongBackend,
 }
 
 /// What a coordinator has beside its replica, for one incarnation of its process.
@@ -50,10 +71,12 @@
     has_quorum_contact: bool,
     quotas: Quotas,
     role_published_at: Duration,
+    list: CoordinatorList,
+    audit: Option<AuditRun>,
 }
 
 impl Coordinator {
-    fn start(life: u64) -> Self {
+    fn start(life: u64, address: SocketAddrV4, now: Duration) -> Self {
         let bounds = Bounds {
             quota_window_s: TERMS.window_s,
             quota_over: TERMS.overuse_ratio,
@@ -70,6 +93,8 @@
             has_quorum_contact: false,
             quotas: Quotas::new(&bounds, policy::Limits::default()),
             role_published_at: Duration::ZERO,
+            list: CoordinatorList::new(address, now),
+            audit: None,
         }
     }
 }
@@ -94,8 +119,19 @@
 enum Message {
     ToCoordinator(u64, FromAgent),
     ToAgent(u64, ToAgent),
+    BetweenCoordinators(endpoint_lists::PeerMessage),
+}
+
+/// The direction of a link in which a message goes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Direction {
+    ToCoordinator,
+    ToAgent,
 }
 
+/// The order in which messages arrive: by time, then by the order in which they were sent.
+type Arrival = (Duration, u64);
+
 pub struct Fleet {
     pub schedule: Schedule,
     coordinators: Vec<Coordinator>,
@@ -104,7 +140,14 @@
     links_so_far: u64,
     connect_from: BTreeMap<(usize, usize), Duration>,
     /// Messages in the order in which they arrive.
-    in_transit: VecDeque<(Duration, Message)>,
+    in_transit: BTreeMap<Arrival, Message>,
+    sent_so_far: u64,
+    /// When the last message in a direction of a link arrives: a connection delivers in order, several together don't.
+    last_arrival: BTreeMap<(u64, Direction), Duration>,
+    platform: Platform,
+    lists: ListChecks,
+    caches: BackendCaches,
+    named: Vec<NamedMismatch>,
     /// When requests were admitted, and how many.
     admitted: VecDeque<(Duration, usize)>,
     /// How many requests arrive for each that the limit allows.
@@ -117,7 +160,7 @@
 impl Fleet {
     pub fn new(schedule: Schedule, frontends: usize, fault: Option<PlantedFault>) -> Self {
         let now = schedule.world.now;
-        let seed = schedule.world.machines.len() as u64;
+        let seed: u64 = schedule.world.random.clone().random();
         Fleet {
             schedule,
             coordinators: Vec::new(),
@@ -125,7 +168,13 @@
             links: BTreeMap::new(),
             links_so_far: 0,
             connect_from: BTreeMap::new(),
-            in_transit: VecDeque::new(),
+            in_transit: BTreeMap::new(),
+            sent_so_far: 0,
+            last_arrival: BTreeMap::new(),
+            platform: Platform::new(seed, now),
+            lists: ListChecks::new(frontends),
+            caches: BackendCaches::default(),
+            named: Vec::new(),
             admitted: VecDeque::new(),
             pressure: 1.5,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -158,6 +207,7 @@
         while self.now() < end && self.broken().is_none() {
             self.schedule.step(true);
             self.inject_frontend_fault();
+            self.inject_platform_fault();
             self.step();
         }
     }
@@ -175,6 +225,8 @@
     /// Lets all faults end; then every agent receives the newest configuration while changes go on.
     pub fn settle(&mut self) {
         self.join_frontends();
+        self.platform.heal();
+        self.keep_blocks();
         while !self.schedule.is_calm() && self.broken().is_none() {
             self.schedule.step(false);
             self.step();
@@ -185,7 +237,10 @@
             self.step();
         }
         let newest = self.schedule.world.checker.newest();
+        self.platform.rest();
         self.quietly(DISTRIBUTED_WITHIN);
+        self.check_lists_agree();
+        self.check_indexes_are_true();
         let have: Vec<u64> = (0..self.frontends.len()).map(|at| self.configuration_of(at)).collect();
         if have.iter().any(|have| *have < newest) && self.broken().is_none() {
             self.broken = Some(format!("agents have {have:?} once all is over, {newest} was the newest"));
@@ -197,6 +252,8 @@
         let partitioned_from = std::mem::take(&mut self.frontends[frontend].partitioned_from);
         self.frontends[frontend] = Frontend::start(now);
         self.frontends[frontend].partitioned_from = partitioned_from;
+        self.lists.restart_frontend(frontend);
+        self.caches.restart_frontend(frontend);
         let links = &self.links;
         let of_it: Vec<u64> =
             links.iter().filter(|(_, link)| link.frontend == frontend).map(|(id, _)| *id).collect();
@@ -235,6 +292,7 @@
     /// What frontends and coordinators do after the replicas have done their part.
     fn step(&mut self) {
         self.begin_and_end_processes();
+        self.step_platform();
         self.close_timed_out_links();
         self.connect();
         self.deliver();
@@ -245,6 +303,7 @@
             self.step_frontend(frontend);
         }
         self.check_limit();
+        self.check_lists();
     }
 
     fn runs(&self, machine: usize) -> bool {
@@ -257,11 +316,13 @@
 
     fn begin_and_end_processes(&mut self) {
         for machine in 0..self.schedule.world.machines.len() {
-            let life = self.schedule.world.machines[machine].life;
+            let (life, address) =
+                (self.schedule.world.machines[machine].life, self.schedule.world.machines[machine].address);
+            let now = self.now();
             if machine == self.coordinators.len() {
-                self.coordinators.push(Coordinator::start(life));
+                self.coordinators.push(Coordinator::start(life, address, now));
             } else if self.coordinators[machine].life != life {
-                self.coordinators[machine] = Coordinator::start(life);
+                self.coordinators[machine] = Coordinator::start(life, address, now);
             }
         }
         let ended = |link: &Link| self.schedule.world.machines[link.machine].life != link.life;
@@ -292,6 +353,7 @@
         let now = self.now();
         let Some(link) = self.links.remove(&id) else { return };
         self.coordinators[link.machine].requests.remove(AgentConnectionId::new(id));
+        self.lists.link_ended(id);
         self.connect_from.insert((link.frontend, link.machine), now + CONNECT_AGAIN);
         let effects = self.frontends[link.frontend].agent.handle_link_down(now, LinkId(id));
         self.carry_out(link.frontend, effects);
@@ -329,6 +391,9 @@
                 ToAgent::ConfigurationAvailable { sequence: ConfigurationSequence(available) },
             );
         }
+        if let Some(digest) = self.coordinators[machine].list.digest_message() {
+            self.send_to_agent(id, digest);
+        }
     }
 
     fn view_message(&self, machine: usize) -> ToAgent {
@@ -352,10 +417,19 @@
     }
 
     fn put_in_transit(&mut self, message: Message) {
-        let at = self.now() + self.delay();
-        // One connection delivers in order; here all of them do together.
-        let at = self.in_transit.back().map_or(at, |(last, _)| at.max(*last));
-        self.in_transit.push_back((at, message));
+        let mut at = self.now() + self.delay();
+        let direction = match &message {
+            Message::ToCoordinator(link, _) => Some((*link, Direction::ToCoordinator)),
+            Message::ToAgent(link, _) => Some((*link, Direction::ToAgent)),
+            Message::BetweenCoordinators(_) => None,
+        };
+        if let Some(direction) = direction {
+            let last = self.last_arrival.entry(direction).or_default();
+            at = at.max(*last);
+            *last = at;
+        }
+        self.sent_so_far += 1;
+        self.in_transit.insert((at, self.sent_so_far), message);
     }
 
     fn send_to_agent(&mut self, link: u64, message: ToAgent) {
@@ -376,6 +450,11 @@
                 Effect::SendToProxy(ToProxy::QuotaResponse(answer)) => {
                     self.frontends[frontend].apply_quota_response(now, &answer)
                 }
+                Effect::SendToProxy(ToProxy::Backends(list)) => self.proxy_receives_list(frontend, list),
+                Effect::SendToProxy(ToProxy::IndexRequested) => self.report_whole_index(frontend),
+                Effect::SendToProxy(ToProxy::IndexCorrections(changes)) => {
+                    self.correct_index(frontend, &changes);
+                }
                 Effect::Reconnect(id) => self.drop_link(id.0),
                 Effect::SendToProxy(_) | Effect::ConfigureProxy(_) => {}
             }
@@ -383,28 +462,47 @@
     }
 
     fn deliver(&mut self) {
-        let now = self.now();
-        let mut queued = Vec::new();
-        while self.in_transit.front().is_some_and(|(at, _)| *at <= now) {
-            let Some((at, message)) = self.in_transit.pop_front() else { return };
-            let id = match &message {
-                Message::ToCoordinator(id, _) | Message::ToAgent(id, _) => *id,
-            };
-            let Some(link) = self.links.get(&id).copied() else { continue };
-            let is_cut = self.frontends[link.frontend].partitioned_from.contains(&link.machine);
-            let waits = matches!(&message, Message::ToCoordinator(..)) && self.is_frozen(link.machine);
-            if is_cut || waits {
-                // A connection queues what can't be delivered.
-                queued.push((at, message));
-                continue;
+        let mut next: Arrival = (Duration::ZERO, 0);
+        while let Some(arrival) = self.in_transit.range(next..).next().map(|(arrival, _)| *arrival) {
+            if arrival.0 > self.now() {
+                return;
             }
-            match message {
-                Message::ToCoordinator(id, message) => self.coordinator_receives(id, link, message),
-                Message::ToAgent(id, message) => self.agent_receives(id, link.frontend, message),
+            next = (arrival.0, arrival.1 + 1);
+            // A connection queues what can't be delivered.
+            if !self.is_held_back(&self.in_transit[&arrival])
+                && let Some(message) = self.in_transit.remove(&arrival)
+            {
+                self.receive(message);
             }
         }
-        for entry in queued.into_iter().rev() {
-            self.in_transit.push_front(entry);
+    }
+
+    fn is_held_back(&self, message: &Message) -> bool {
+        let (id, to_coordinator) = match message {
+            Message::ToCoordinator(id, _) => (id, true),
+            Message::ToAgent(id, _) => (id, false),
+            Message::BetweenCoordinators(message) => return self.is_frozen(message.to),
+        };
+        self.links.get(id).is_some_and(|link| {
+            let is_cut = self.frontends[link.frontend].partitioned_from.contains(&link.machine);
+            is_cut || (to_coordinator && self.is_frozen(link.machine))
+        })
+    }
+
+    fn receive(&mut self, message: Message) {
+        let link = |id: &u64| self.links.get(id).copied();
+        match message {
+            Message::ToCoordinator(id, message) => {
+                if let Some(link) = link(&id) {
+                    self.coordinator_receives(id, link, message);
+                }
+            }
+            Message::ToAgent(id, message) => {
+                if let Some(link) = link(&id) {
+                    self.agent_receives(id, link.frontend, message);
+                }
+            }
+            Message::BetweenCoordinators(message) => self.peer_receives(message),
         }
     }
 
@@ -431,7 +529,10 @@
                     self.send_to_agent(id, ToAgent::QuotaResponse(answer));
                 }
             }
-            _ => {}
+            FromAgent::IndexChanges { restart, changes } => {
+                self.apply_index_report(link, restart, &changes);
+            }
+            message => self.answer_list_request(id, link, message),
         }
     }
 
@@ -475,6 +576,8 @@
         self.announce_available(machine);
         self.confirm_read_index(machine);
         self.answer_requests(machine);
+        self.step_list(machine);
+        self.step_audit(machine);
     }
 
     /// As the driver of the replica does with each tick.
@@ -500,6 +603,7 @@
             coordinator.quotas.set_tenants(vec![tenant()], now);
         }
         (coordinator.view, coordinator.has_quorum_contact) = (number, has_quorum_contact);
+        self.start_or_end_audit(machine, acting_head);
         if differs {
             let message = self.view_message(machine);
             self.broadcast(machine, &message);
@@ -583,6 +687,7 @@
                 self.frontends[frontend].agent.handle_proxy_message(now, FromProxy::QuotaRequest(request));
             self.carry_out(frontend, effects);
         }
+        self.send_inference_request(frontend);
         let due = self.frontends[frontend].agent.next_deadline().is_some_and(|due| now >= due);
         if due || now >= self.frontends[frontend].last_polled + POLL_INTERVAL {
             self.frontends[frontend].last_polled = now;
--- a/crates/coordinator/tests/one_world/main.rs
+++ b/crates/coordinator/tests/one_world/main.rs
@@ -7,7 +7,7 @@
 #[path = "../../../replication/tests/simulation/mod.rs"]
 mod simulation;
 
-use fleet::{Fleet, PlantedFault};
+use fleet::{Fleet, ListCounts, PlantedFault, PlatformTrouble};
 use simulation::operators::change;
 use simulation::schedule::{Schedule, draw_overlaps, draw_storm, draw_world};
 use simulation::{World, ms, seeds};
@@ -16,8 +16,8 @@
 const FRONTENDS: usize = 4;
 const FAULTS_FOR: Duration = Duration::from_secs(30);
 
-/// Plays one seed; gives the rule that was broken.
-fn play(seed: u64, fault: Option<PlantedFault>) -> Option<String> {
+/// Plays one seed.
+fn played(seed: u64, fault: Option<PlantedFault>) -> Fleet {
     let schedule = match seed % 3 {
         0 => Schedule::new(draw_world(seed)),
         1 => draw_storm(seed),
@@ -26,15 +26,26 @@
     let mut fleet = Fleet::new(schedule, FRONTENDS, fault);
     fleet.play(FAULTS_FOR);
     fleet.settle();
-    fleet.broken()
+    fleet
+}
+
+/// Plays one seed; gives the rule that was broken.
+fn play(seed: u64, fault: Option<PlantedFault>) -> Option<String> {
+    played(seed, fault).broken()
 }
 
 #[test]
 fn agents_operators_and_limits_agree_whatever_happens() {
+    let mut all = ListCounts::default();
+    let mut mismatches = 0;
     for seed in seeds(24) {
-        let broken = play(seed, None);
-        assert_eq!(broken, None, "seed {seed}");
+        let fleet = played(seed, None);
+        assert_eq!(fleet.broken(), None, "seed {seed}");
+        all += fleet.list_counts();
+        mismatches += fleet.named().len();
     }
+    println!("{all:?}, {mismatches} mismatches");
+    assert!(all.comparisons > 0 && all.cut_comparisons > 0 && mismatches > 0, "nothing was checked: {all:?}");
 }
 
 /// What a planted fault breaks in the first of some seeds that notices it.
@@ -49,6 +60,17 @@
     assert!(broken.contains("was seen before it asked"), "{broken}");
 }
 
+#[test]
+fn versions_that_are_given_at_the_end_of_a_read_would_be_noticed() {
+    noticed(PlantedFault::VersionsAtEndOfRead);
+}
+
+#[test]
+fn a_mismatch_on_the_wrong_backend_would_be_noticed() {
+    let broken = noticed(PlantedFault::CorrectsWrongBackend);
+    assert!(broken.contains("is named, and is not so"), "{broken}");
+}
+
 /// Three machines whose chain has taken one change; agents have it.
 fn calm(fault: Option<PlantedFault>) -> Fleet {
     let mut world = World::new(5, 3, 1);
@@ -143,3 +165,91 @@
     let broken = limit_while_the_head_is_partitioned(Some(PlantedFault::GrantsForEver));
     assert!(broken.is_some_and(|broken| broken.contains("admitted in a window")));
 }
+
+/// Two of three coordinators are lost. The one that is left has no majority, and a backend drains. Returns whether frontends
+/// still send to it 10 s later.
+fn frontends_miss_a_drain_without_a_majority(fault: Option<PlantedFault>) -> bool {
+    let mut fleet = calm(fault);
+    fleet.quietly(ms(3_000));
+    for machine in 1..3 {
+        fleet.schedule.world.remove(machine);
+    }
+    fleet.quietly(ms(3_000));
+    let drained = fleet.drain_any_backend();
+    fleet.quietly(Duration::from_secs(10));
+    (0..FRONTENDS).any(|frontend| fleet.is_ready_at(frontend, &drained))
+}
+
+#[test]
+fn drains_are_told_while_no_majority_is_there() {
+    assert!(!frontends_miss_a_drain_without_a_majority(None));
+    assert!(frontends_miss_a_drain_without_a_majority(Some(PlantedFault::ReadsWithMajorityOnly)));
+}
+
+/// A reader that is cut off from the other coordinators reads on, and what the others read takes long or fails; so its versions
+/// are ahead of theirs. Then it is lost, and a backend drains: how long until all frontends know. `None` after a minute.
+fn time_to_learn_of_a_drain(
+    ahead: Duration,
+    trouble: PlatformTrouble,
+    fault: Option<PlantedFault>,
+) -> Option<Duration> {
+    let mut fleet = calm(fault);
+    fleet.quietly(ms(3_000));
+    let reader = fleet.reader().expect("somebody reads");
+    fleet.schedule.world.cut_off(reader);
+    fleet.trouble_all_but(reader, trouble, ahead);
+    fleet.quietly(ahead);
+    fleet.schedule.world.remove(reader);
+    let drained = fleet.drain_any_backend();
+    let begun = fleet.schedule.world.now;
+    while (0..FRONTENDS).any(|frontend| fleet.is_ready_at(frontend, &drained)) {
+        let passed = fleet.schedule.world.now - begun;
+        if passed >= Duration::from_secs(60) || fleet.broken().is_some() {
+            return None;
+        }
+        fleet.quietly(ms(100));
+    }
+    assert_eq!(fleet.broken().filter(|_| fault.is_none()), None);
+    Some(fleet.schedule.world.now - begun)
+}
+
+#[test]
+fn lists_of_a_lost_reader_that_was_ahead_do_not_hide_newer_ones() {
+    /// Until a poll of the agent finds that nobody confirms the list that it has, and a read.
+    const LEARNED_WITHIN: Duration = Duration::from_millis(5_500);
+    for trouble in [PlatformTrouble::Unreachable, PlatformTrouble::Slow] {
+        for seconds in [0, 5, 20, 60] {
+            let passed = time_to_learn_of_a_drain(Duration::from_secs(seconds), trouble, None);
+            println!("{trouble:?} for {seconds} s: known after {passed:?}");
+            assert!(
+                passed.is_some_and(|passed| passed <= LEARNED_WITHIN),
+                "{trouble:?} for {seconds} s: {passed:?}"
+            );
+        }
+    }
+    let hides = Some(PlantedFault::HidesVersions);
+    let passed = time_to_learn_of_a_drain(Duration::from_secs(60), PlatformTrouble::Slow, hides);
+    assert!(passed.is_none_or(|passed| passed > LEARNED_WITHIN), "the planted fault is noticed: {passed:?}");
+}
+
+/// A backend loses a block; so long after, the auditor is lost in one of three ways, in the middle of its rounds.
+#[test]
+fn a_mismatch_is_named_once_where_its_auditor_is_replaced() {
+    for moment in 0..24 {
+        let mut fleet = calm(None);
+        fleet.keep_blocks();
+        fleet.quietly(Duration::from_secs(12));
+        let lost = fleet.lose_block();
+        fleet.quietly(ms(400) * moment);
+        let head = fleet.schedule.world.head().expect("a head");
+        match moment % 3 {
+            0 => fleet.schedule.world.stop(head),
+            1 => fleet.schedule.world.freeze(head, Duration::from_secs(5)),
+            _ => fleet.schedule.world.cut_off(head),
+        }
+        fleet.quietly(Duration::from_secs(25));
+        assert_eq!(fleet.broken(), None, "moment {moment}");
+        let named: Vec<_> = fleet.named().iter().filter(|named| named.block == lost).collect();
+        assert_eq!(named.len(), 1, "moment {moment}: {named:#?}");
+    }
+}
--- a/crates/index-audit/src/audit.rs
+++ b/crates/index-audit/src/audit.rs
@@ -1,6 +1,7 @@
 //! The audit of all backends: the schedule of requests, the log of mismatches, the corrections.
 
 use crate::backend::BackendAudit;
+use crate::early_reports::{EarlyReport, EarlyReports};
 use crate::error::AuditError;
 use crate::ids::{BackendKey, BlockKey, FrontendId, RoundNumber};
 use crate::mismatch::{Mismatch, MismatchCounts, MismatchLog, MismatchOutcome};
@@ -36,6 +37,8 @@
     settings: AuditSettings,
     backends: BTreeMap<BackendKey, BackendAudit>,
     frontends: FxHashMap<String, FrontendId>,
+    /// Reports on backends that are not listed yet.
+    early_reports: EarlyReports,
     log: MismatchLog,
     /// The counts of backends that are no longer audited.
     departed_counts: MismatchCounts,
@@ -52,6 +55,7 @@
             settings,
             backends: BTreeMap::new(),
             frontends: FxHashMap::default(),
+            early_reports: EarlyReports::default(),
             log: MismatchLog::default(),
             departed_counts: MismatchCounts::default(),
             rounds: 0,
@@ -74,6 +78,17 @@
             let added = || BackendAudit::new(*key, instance_id.clone(), first_round_at);
             self.backends.entry(*key).or_insert_with(added);
         }
+        let is_listed = |key| self.backends.contains_key(&key);
+        for early in self.early_reports.take(is_listed) {
+            let EarlyReport { frontend, backend, block, tokens, .. } = early;
+            self.apply_report(now, frontend, backend, block, tokens);
+        }
+    }
+
+    /// Whether reports on backends that were not listed yet were lost since this was last called: frontends have to report
+    /// their whole index anew.
+    pub fn take_lost_reports(&mut self) -> bool {
+        self.early_reports.take_has_lost()
     }
 
     /// Applies a frontend's report that a backend caches a block (`Some` with the block's tokens), or no longer does.
@@ -86,6 +101,21 @@
         tokens: Option<u32>,
     ) {
         let frontend = self.frontend_id(frontend);
+        if self.backends.contains_key(&backend) {
+            self.apply_report(now, frontend, backend, block, tokens);
+        } else {
+            self.early_reports.push(EarlyReport { frontend, backend, block, tokens, received_at: now });
+        }
+    }
+
+    fn apply_report(
+        &mut self,
+        now: Duration,
+        frontend: FrontendId,
+        backend: BackendKey,
+        block: BlockKey,
+        tokens: Option<u32>,
+    ) {
         let Some(backend) = self.backends.get_mut(&backend) else { return };
         match tokens {
             Some(_) if backend.is_index_full() => backend.fail(AuditError::IndexTooLarge),
@@ -97,6 +127,7 @@
     /// Withdraws all that a frontend has reported: it is gone, or reports its whole index anew.
     pub fn forget_frontend(&mut self, now: Duration, frontend: &str) {
         let frontend = self.frontend_id(frontend);
+        self.early_reports.forget_frontend(frontend);
         self.backends.values_mut().for_each(|backend| backend.index_mut().forget_frontend(now, frontend));
     }
 
--- a/crates/index-audit/src/lib.rs
+++ b/crates/index-audit/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod audit;
 mod backend;
+mod early_reports;
 mod error;
 mod ids;
 mod index;
