--- a/crates/index-audit/tests/audits.rs
+++ b/crates/index-audit/tests/audits.rs
@@ -3,7 +3,9 @@
 
 mod simulation;
 
-use index_audit::{BackendAuditState, Mismatch, MismatchKind, MismatchOutcome};
+use index_audit::{
+    Audit, AuditSettings, BackendAuditState, BackendKey, BlockKey, Mismatch, MismatchKind, MismatchOutcome,
+};
 use simulation::{BACKENDS, Behavior, Simulation, block, ms};
 use std::time::Duration;
 
@@ -290,3 +292,61 @@
     assert_eq!(status.mismatches.len() as u64 + status.older_mismatches, all);
     assert!(status.mismatches.len() <= 256 && status.older_mismatches > 0);
 }
+
+/// One backend that is listed only later, as the auditor has just started or a frontend has a newer list.
+fn audit_of_a_later_backend(reports: u64) -> Audit {
+    let mut audit = Audit::new(AuditSettings::default());
+    for number in 0..reports {
+        audit.apply_index_change(
+            ms(number / 100),
+            "frontend-1",
+            BackendKey(7),
+            BlockKey(block(number)),
+            Some(100),
+        );
+    }
+    audit
+}
+
+fn blocks_of(audit: &Audit) -> Vec<usize> {
+    audit.status().backends.iter().map(|backend| backend.blocks).collect()
+}
+
+#[test]
+fn reports_on_a_backend_that_is_not_listed_yet_are_applied_once_it_is() {
+    let mut audit = audit_of_a_later_backend(50);
+    audit.set_backends(ms(1_000), &[(BackendKey(8), "i-8".into())]);
+    assert_eq!(blocks_of(&audit), [0], "they are on another backend");
+    audit.set_backends(ms(2_000), &[(BackendKey(7), "i-7".into()), (BackendKey(8), "i-8".into())]);
+    assert_eq!(blocks_of(&audit), [50, 0]);
+    assert!(!audit.take_lost_reports());
+}
+
+#[test]
+fn withdrawn_reports_on_a_backend_that_is_not_listed_yet_do_not_return() {
+    let mut audit = audit_of_a_later_backend(50);
+    audit.apply_index_change(ms(10), "frontend-1", BackendKey(7), BlockKey(block(3)), None);
+    audit.apply_index_change(ms(10), "frontend-2", BackendKey(7), BlockKey(block(60)), Some(100));
+    audit.set_backends(ms(20), &[(BackendKey(7), "i-7".into())]);
+    assert_eq!(blocks_of(&audit), [50], "50 less one, and one of another frontend");
+    let mut audit = audit_of_a_later_backend(50);
+    audit.forget_frontend(ms(10), "frontend-1");
+    audit.set_backends(ms(20), &[(BackendKey(7), "i-7".into())]);
+    assert_eq!(blocks_of(&audit), [0]);
+}
+
+#[test]
+fn reports_beyond_what_is_retained_are_asked_for_again() {
+    let mut audit = audit_of_a_later_backend(10_001);
+    assert!(audit.take_lost_reports());
+    assert!(!audit.take_lost_reports(), "it is said once");
+}
+
+#[test]
+fn reports_on_a_backend_that_never_comes_make_room() {
+    let mut audit = audit_of_a_later_backend(10_000);
+    audit.apply_index_change(ms(70_000), "frontend-1", BackendKey(9), BlockKey(1), Some(100));
+    assert!(!audit.take_lost_reports());
+    audit.set_backends(ms(70_001), &[(BackendKey(7), "i-7".into()), (BackendKey(9), "i-9".into())]);
+    assert_eq!(blocks_of(&audit), [0, 1]);
+}
--- a/crates/replication/src/fault.rs
+++ b/crates/replication/src/fault.rs
@@ -61,6 +61,8 @@
     CopiesTooEarly,
     /// A forced view is led by a member that lacks what may have been committed.
     ForcesWithoutEvidence,
+    /// A promise of a member that is synced in the view in force does not prevent a forced view.
+    IgnoresSyncedPromises,
     /// A change that may have been committed and pruned is rejected.
     RejectsPruned,
     /// A member that is shutting down reports that it may end once it is outside the chain.
