A repair of a list ends with its own response alone; drains are remembered for a minute

An agent that asks for the backends that differ took the response to the comparison before, of a list that had changed meanwhile, for that of the new one; and it forgot a drain with a list that leaves the backend out, as the platform's answers may.

Change: a response ends a comparison only where it names the keys that this one has asked for; drains are kept for 60 s after the last list that names the backend. Both tests fail without the mend (run on the former source).

--- a/crates/agent/src/backend_lists.rs
+++ b/crates/agent/src/backend_lists.rs
@@ -4,13 +4,16 @@
 use crate::repair::{ComparisonReason, ListRequest, Repair, RepairError, repaired};
 use control_protocol::{Backend, BackendChanges, BackendList, BackendListVersion, BackendState};
 use range_digest::{KeyRange, RangeContent, RangeDigest};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// The time after which a request for the complete list may be sent to another coordinator.
 const FULL_LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// How long a backend that drains is remembered after the last list that names it.
+const DRAINING_RETENTION: Duration = Duration::from_secs(60);
+
 /// The list of one coordinator.
 #[derive(Clone, Debug)]
 struct CoordinatorList {
@@ -40,8 +43,8 @@
     /// When the newest list was last confirmed.
     confirmed_at: Duration,
     full_list_request: Option<FullListRequest>,
-    /// Backends that were seen draining: none of them is ever ready again.
-    draining: HashSet<String>,
+    /// Backends that were seen draining, each with the time of the last list that names it: none of them is ever ready again.
+    draining: HashMap<String, Duration>,
 }
 
 impl BackendLists {
@@ -184,7 +187,7 @@
     }
 
     /// The list of a link with the coordinator's entries of the backends that were found to differ; ends the comparison.
-    /// `None` if there was none of this version.
+    /// `None` if there was none of this version that has requested them.
     pub fn repaired_list(
         &mut self,
         id: LinkId,
@@ -193,7 +196,7 @@
         backends: &[Backend],
     ) -> Option<BackendList> {
         let list = self.by_link.get_mut(&id).filter(|list| list.version == version)?;
-        list.repair.take()?;
+        list.repair.take_if(|repair| repair.requested(keys))?;
         Some(BackendList { version, backends: repaired(&list.backends, keys, backends) })
     }
 
@@ -225,7 +228,7 @@
         backends: &[Backend],
     ) -> Option<BackendList> {
         self.confirmed_at = now;
-        let backends = self.with_draining(backends);
+        let backends = self.with_draining(now, backends);
         match &mut self.newest {
             Some(newest) if newest.backends == backends => {
                 newest.version = version;
@@ -239,16 +242,18 @@
         }
     }
 
-    /// The list, with each backend that was seen draining still draining.
-    fn with_draining(&mut self, backends: &[Backend]) -> Vec<Backend> {
+    /// The list, with each backend that was seen draining still draining. What the platform leaves out of a list may be on the
+    /// next one.
+    fn with_draining(&mut self, now: Duration, backends: &[Backend]) -> Vec<Backend> {
         let mut backends = backends.to_vec();
         for backend in &mut backends {
-            if self.draining.contains(&backend.instance_id) {
+            if self.draining.contains_key(&backend.instance_id) {
                 backend.state = BackendState::Draining;
             }
         }
         let draining = backends.iter().filter(|backend| backend.state == BackendState::Draining);
-        self.draining = draining.map(|backend| backend.instance_id.clone()).collect();
+        self.draining.extend(draining.map(|backend| (backend.instance_id.clone(), now)));
+        self.draining.retain(|_, listed_at| now < *listed_at + DRAINING_RETENTION);
         backends
     }
 
--- a/crates/agent/src/repair.rs
+++ b/crates/agent/src/repair.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Whether a response with these keys is the one to this comparison's request. The response to an earlier one, of a list that
+    /// has changed meanwhile, names other keys, and says nothing of what is different now.
+    pub fn requested(&self, keys: &[u64]) -> bool {
+        self.walk.is_finished() && self.found.iter().map(|difference| difference.key).eq(keys.iter().copied())
+    }
+
     /// Compares the coordinator's content of a range.
     ///
     /// # Errors
--- a/crates/agent/tests/backend_lists.rs
+++ b/crates/agent/tests/backend_lists.rs
@@ -184,3 +184,30 @@
     assert_eq!(sent_list(effects.clone()), None);
     assert_eq!(sent_to_coordinators(effects), [(B, FromAgent::FetchBackendsDigest)]);
 }
+
+/// The platform may leave a backend out of one list. An older read of another coordinator, under a higher version, has it ready.
+#[test]
+fn a_backend_that_drains_stays_draining_where_a_list_leaves_it_out() {
+    let (mut agent, ready) = (agent(), list(5, 10));
+    let with_version = |list: &BackendList, version: u64| BackendList {
+        version: BackendListVersion(version),
+        backends: list.backends.clone(),
+    };
+    let mut draining = with_version(&ready, 6);
+    draining.backends[7].state = BackendState::Draining;
+    let mut without = with_version(&ready, 7);
+    without.backends.remove(7);
+    for (second, sent) in [(1, &ready), (2, &draining), (3, &without)] {
+        agent.handle_coordinator_message(at(second), A, ToAgent::Backends(sent.clone()));
+    }
+    let again = with_version(&ready, 8);
+    let effects = agent.handle_coordinator_message(at(10), B, ToAgent::Backends(again));
+    let received = sent_list(effects).expect("a list");
+    assert_eq!(received.backends[7].state, BackendState::Draining);
+    // Another process may have the id of one that has gone long ago.
+    agent.handle_coordinator_message(at(11), A, ToAgent::Backends(with_version(&without, 9)));
+    agent.handle_coordinator_message(at(80_000), A, ToAgent::Backends(with_version(&without, 10)));
+    let effects =
+        agent.handle_coordinator_message(at(81_000), A, ToAgent::Backends(with_version(&ready, 11)));
+    assert_eq!(sent_list(effects).expect("a list").backends[7].state, BackendState::Ready);
+}
--- a/crates/agent/tests/list_repair.rs
+++ b/crates/agent/tests/list_repair.rs
@@ -4,8 +4,8 @@
 
 use agent::{AgentState, Effect, LinkId};
 use control_protocol::{
-    Backend, BackendList, BackendListVersion, BackendState, ConfigurationSequence, FromAgent, ToAgent,
-    ToProxy, list_digest_set,
+    Backend, BackendChanges, BackendList, BackendListVersion, BackendState, ConfigurationSequence, FromAgent,
+    ToAgent, ToProxy, list_digest_set,
 };
 use quickcheck::quickcheck;
 use range_digest::{KeyRange, RangeContent, RangeDigest};
@@ -116,6 +116,54 @@
     assert_eq!(repair(&mut agent, &newer), (None, 0));
 }
 
+/// Another coordinator, whose list the agent assumes to be that of the first.
+const OTHER_LINK: LinkId = LinkId(2);
+
+/// The requests that an agent sends to the other coordinator after a message of it, and the list that its proxy receives.
+fn after_message(agent: &mut AgentState, message: ToAgent) -> (Vec<FromAgent>, Option<BackendList>) {
+    let (mut requests, mut received) = (Vec::new(), None);
+    for effect in agent.handle_coordinator_message(NOW, OTHER_LINK, message) {
+        match effect {
+            Effect::SendToCoordinator(OTHER_LINK, request) => requests.push(request),
+            Effect::SendToProxy(ToProxy::Backends(list)) => received = Some(list),
+            Effect::SendToProxy(_) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    (requests, received)
+}
+
+#[test]
+fn a_response_to_the_comparison_before_does_not_end_the_next_one() {
+    let numbered = |numbers: std::ops::Range<u16>| -> Vec<Backend> {
+        numbers.map(|number| numbered_backend(number, BackendState::Ready)).collect()
+    };
+    let mut agent = agent(&list(7, numbered(0..100)));
+    agent.handle_link_up(NOW, OTHER_LINK, SocketAddrV4::new(Ipv4Addr::LOCALHOST, 2));
+    // The comparison with the other coordinator's list is at its last request.
+    let before = list(8, numbered(0..97));
+    let (mut requests, _) = after_message(&mut agent, list_digest(&before));
+    while let [FromAgent::CompareBackends { .. }] = requests.as_slice() {
+        (requests, _) = after_message(&mut agent, respond(&before, requests[0].clone()));
+    }
+    let [late @ FromAgent::RequestBackends { .. }] = requests.as_slice() else { panic!("{requests:?}") };
+    // Its list changes, and a new comparison begins, before it answers: by the newer list, for the keys of the older one.
+    let after = list(9, numbered(0..90));
+    let changes = BackendChanges::between(&before.backends, &after.backends);
+    let changed = ToAgent::BackendsChanged { base: before.version, version: after.version, changes };
+    assert_eq!(after_message(&mut agent, changed).0, [FromAgent::FetchBackendsDigest]);
+    let (mut requests, _) = after_message(&mut agent, list_digest(&after));
+    let late_response = respond(&after, late.clone());
+    assert_eq!(after_message(&mut agent, late_response), (Vec::new(), None));
+    let mut received = None;
+    while let Some(request) = requests.pop() {
+        let (next, list) = after_message(&mut agent, respond(&after, request));
+        requests.extend(next);
+        received = received.or(list);
+    }
+    assert_eq!(received, Some(after));
+}
+
 #[test]
 fn an_invalid_response_causes_a_reconnect() {
     let mut agent = agent(&list(7, vec![numbered_backend(1, BackendState::Ready)]));
--- a/crates/coordinator/tests/one_world/main.rs
+++ b/crates/coordinator/tests/one_world/main.rs
@@ -14,8 +14,9 @@
 use std::time::Duration;
 
 const FRONTENDS: usize = 4;
-/// Seeds beyond the first that have shown a fault: reports on a backend that the platform had left out.
-const SEEDS_THAT_FOUND_FAULTS: [u64; 1] = [1025];
+/// Seeds beyond the first that have shown a fault: reports on a backend that the platform had left out; a repair of a list that
+/// was ended by the response to the comparison before; a drain that was forgotten with a list that left its backend out.
+const SEEDS_THAT_FOUND_FAULTS: [u64; 4] = [1025, 2133, 2135, 2297];
 const FAULTS_FOR: Duration = Duration::from_secs(30);
 
 /// Plays one seed.
--- a/crates/replication/src/view_change.rs
+++ b/crates/replication/src/view_change.rs
@@ -263,10 +263,10 @@
             PrepareResult::Constrained(_) if planted!(self, IgnoresAcceptedViews) => self.wanted_view(),
             PrepareResult::Constrained(view) => Some(view),
             PrepareResult::Unconstrained { any_synced: false } if is_forced => self.forced_view(),
-            PrepareResult::Unconstrained { .. }
-                if is_forced
-                    && (planted!(self, ForcesWithoutEvidence) || planted!(self, IgnoresSyncedPromises)) =>
-            {
+            PrepareResult::Unconstrained { .. } if is_forced && planted!(self, ForcesWithoutEvidence) => {
+                self.forced_view()
+            }
+            PrepareResult::Unconstrained { .. } if is_forced && planted!(self, IgnoresSyncedPromises) => {
                 self.forced_view()
             }
             PrepareResult::Unconstrained { .. } => self.wanted_view(),
