Agents tell readers that are behind once nobody confirms the newest list

The newest list was of a coordinator that had started later, so with higher versions by far, and that no longer reached the platform. Agents told only coordinators whose links were silent about lists which version they have; the other one confirmed its own list every 0.7 s, and was ignored for as long as its versions were lower.

Change: where the newest list was not confirmed for 1.5 s, all coordinators with older ones are told its version.

--- a/crates/agent/src/backend_lists.rs
+++ b/crates/agent/src/backend_lists.rs
@@ -11,6 +11,9 @@
 /// The time after which a request for the complete list may be sent to another coordinator.
 const FULL_LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// How long after its last confirmation the newest list may be that of a reader that is lost: a list is read every 0.7 s.
+const UNCONFIRMED_AFTER: Duration = Duration::from_millis(1500);
+
 /// How long a backend that drains is remembered after the last list that names it.
 const DRAINING_RETENTION: Duration = Duration::from_secs(60);
 
@@ -263,12 +266,16 @@
         self.full_list_request.take_if(|request| request.link == id);
     }
 
-    /// The links on which nothing about a list has arrived since the last call and whose list is older than the newest one.
-    pub fn take_stale_links(&mut self) -> Vec<LinkId> {
+    /// The links whose list is older than the newest one, if nothing about a list has arrived on them since the last call, or the
+    /// newest one is not confirmed any more: its reader may be lost, and what these coordinators read would be ignored for as
+    /// long as their versions are lower. Those of a coordinator that has started later are higher by far.
+    pub fn take_stale_links(&mut self, now: Duration) -> Vec<LinkId> {
         let Some(version) = self.version() else { return Vec::new() };
+        let is_unconfirmed = now >= self.confirmed_at + UNCONFIRMED_AFTER;
         let mut stale = Vec::new();
         for (id, list) in self.by_link.iter_mut().filter(|(_, list)| list.is_verified) {
-            if !std::mem::take(&mut list.is_active) && list.version < version {
+            let is_silent = !std::mem::take(&mut list.is_active);
+            if list.version < version && (is_silent || is_unconfirmed) {
                 stale.push(*id);
             }
         }
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -478,7 +478,7 @@
     pub fn poll(&mut self, now: Duration) -> Vec<Effect> {
         let mut effects = self.fetch_if_due(now);
         if let Some(version) = self.lists.version() {
-            for id in self.lists.take_stale_links() {
+            for id in self.lists.take_stale_links(now) {
                 effects.push(self.send(now, id, FromAgent::BackendsSeen { version }));
             }
         }
--- a/crates/agent/tests/backend_lists.rs
+++ b/crates/agent/tests/backend_lists.rs
@@ -211,3 +211,26 @@
         agent.handle_coordinator_message(at(81_000), A, ToAgent::Backends(with_version(&ready, 11)));
     assert_eq!(sent_list(effects).expect("a list").backends[7].state, BackendState::Ready);
 }
+
+/// A coordinator that has started later has versions that are higher by far. Once it is silent, one that reads on has to be told,
+/// or its lists would be ignored for ever.
+#[test]
+fn a_coordinator_that_reads_on_is_told_of_the_version_of_one_that_is_silent() {
+    let (mut agent, first) = (agent(), list(5, 10));
+    agent.handle_coordinator_message(at(0), A, ToAgent::Backends(first.clone()));
+    agent.handle_coordinator_message(
+        at(100),
+        B,
+        digest(&BackendList { version: BackendListVersion(9_000), ..first }),
+    );
+    assert_eq!(agent.status().list_version, BackendListVersion(9_000));
+    let confirmed = |version| ToAgent::BackendsConfirmed { version: BackendListVersion(version) };
+    agent.handle_coordinator_message(at(700), A, confirmed(6));
+    let seen = (A, FromAgent::BackendsSeen { version: BackendListVersion(9_000) });
+    assert!(
+        !sent_to_coordinators(agent.poll(at(1_000))).contains(&seen),
+        "the other one may confirm its list yet"
+    );
+    agent.handle_coordinator_message(at(1_400), A, confirmed(7));
+    assert!(sent_to_coordinators(agent.poll(at(2_000))).contains(&seen));
+}
--- a/crates/coordinator/tests/one_world/main.rs
+++ b/crates/coordinator/tests/one_world/main.rs
@@ -15,8 +15,9 @@
 
 const FRONTENDS: usize = 4;
 /// Seeds beyond the first that have shown a fault: reports on a backend that the platform had left out; a repair of a list that
-/// was ended by the response to the comparison before; a drain that was forgotten with a list that left its backend out.
-const SEEDS_THAT_FOUND_FAULTS: [u64; 4] = [1025, 2133, 2135, 2297];
+/// was ended by the response to the comparison before; a drain that was forgotten with a list that left its backend out;
+/// lists that were ignored beside the last one of a silent coordinator with higher versions.
+const SEEDS_THAT_FOUND_FAULTS: [u64; 5] = [1025, 2133, 2135, 2297, 3004];
 const FAULTS_FOR: Duration = Duration::from_secs(30);
 
 /// Plays one seed.
