The planted version at the end of a read is forced, not drawn

Change: a scenario in its place, as strict for the mended code and surer for the fault: the reader stands still for 6 s at 45 moments of an interval and a read, others read meanwhile, and it ends its read then.

--- a/crates/coordinator/tests/one_world/main.rs
+++ b/crates/coordinator/tests/one_world/main.rs
@@ -64,9 +64,27 @@
     assert!(broken.contains("was seen before it asked"), "{broken}");
 }
 
+/// The reader stands still for seconds, at a moment that may be in the middle of a read, and others read meanwhile. Then it ends
+/// that read.
+fn suspended_reader(moment: u64, fault: Option<PlantedFault>) -> Option<String> {
+    let mut fleet = calm(fault);
+    fleet.quietly(ms(3_000 + 20 * moment));
+    let reader = fleet.reader().expect("somebody reads");
+    fleet.schedule.world.freeze(reader, ms(6_000));
+    fleet.quietly(ms(9_000));
+    fleet.broken()
+}
+
 #[test]
-fn versions_that_are_given_at_the_end_of_a_read_would_be_noticed() {
-    noticed(PlantedFault::VersionsAtEndOfRead);
+fn what_a_suspended_reader_has_seen_does_not_replace_newer_lists() {
+    /// Moments of one interval of reads and a read.
+    const MOMENTS: std::ops::Range<u64> = 0..45;
+    for moment in MOMENTS {
+        assert_eq!(suspended_reader(moment, None), None, "moment {moment}");
+    }
+    let fault = Some(PlantedFault::VersionsAtEndOfRead);
+    let noticed = MOMENTS.filter_map(|moment| suspended_reader(moment, fault)).next();
+    assert!(noticed.expect("the planted fault is noticed").contains("after"));
 }
 
 #[test]
