--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -1,12 +1,11 @@
-//! The processes of the deployment: three core machines and two frontends, each with an address of its own.
+//! The processes of the deployment: three core machines and some frontends, each with an address of its own.
 
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
 const CORE_MACHINES: u8 = 3;
-const FRONTENDS: u8 = 2;
 /// The last byte of the address of the first frontend.
 const FIRST_FRONTEND: u8 = 20;
 /// The last byte of the platform's address.
@@ -18,22 +17,25 @@
     folder: PathBuf,
     /// The first three bytes of all addresses.
     network: String,
+    frontends: u8,
+    /// Whether the settings say that the whole system starts for the first time.
+    bootstrap: bool,
     children: Vec<Child>,
 }
 
 impl Fleet {
     /// Chooses a loopback network whose ports are free, and a temporary folder.
-    pub fn prepare(root: &str) -> Result<Self, String> {
+    pub fn prepare(root: &str, frontends: u8) -> Result<Self, String> {
         let id = std::process::id();
         let is_free = |network: &String| {
-            let ports = [(1, 8665), (1, 7680), (FIRST_FRONTEND, 8662), (PLATFORM, 8667), (60, 8000)];
+            let ports = [(1, 8665), (1, 7680), (FIRST_FRONTEND, 8662), (PLATFORM, 8667), (200, 8000)];
             ports.iter().all(|(host, port)| TcpListener::bind(format!("{network}.{host}:{port}")).is_ok())
         };
         let networks = (0..50).map(|step| format!("127.{}.{}", 64 + (id / 200 + step) % 100, id % 200));
         let network = networks.into_iter().find(is_free).ok_or("no loopback network has free ports")?;
         let folder = std::env::temp_dir().join(format!("marlwinch-review-{id}"));
         fs::create_dir_all(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
-        Ok(Fleet { root: root.into(), folder, network, children: Vec::new() })
+        Ok(Fleet { root: root.into(), folder, network, frontends, bootstrap: true, children: Vec::new() })
     }
 
     /// An address of the network.
@@ -53,16 +55,18 @@
 
     /// The clients' addresses.
     pub fn frontends(&self) -> Vec<String> {
-        (0..FRONTENDS).map(|number| self.address(FIRST_FRONTEND + number, 8662)).collect()
+        (0..self.frontends).map(|number| self.address(FIRST_FRONTEND + number, 8662)).collect()
     }
 
     /// The addresses of the readiness checks.
     pub fn readiness(&self) -> Vec<String> {
-        (0..FRONTENDS).map(|number| self.address(FIRST_FRONTEND + number, 8663)).collect()
+        (0..self.frontends).map(|number| self.address(FIRST_FRONTEND + number, 8663)).collect()
     }
 
-    /// Starts all processes.
+    /// Starts all processes, those of the frontends first: machines start in any order, and what they need may
+    /// not listen yet.
     pub fn start(&mut self) -> Result<(), String> {
+        self.start_frontends()?;
         for host in 1..=CORE_MACHINES {
             let data = self.folder.join(format!("core-{host}"));
             fs::create_dir_all(&data).map_err(|error| error.to_string())?;
@@ -70,7 +74,11 @@
             let extra = format!("{listen}data_dir: \"{}\"\n", data.display());
             self.start_roles(&format!("core-{host}"), "core", host, &extra, &["coordinator"])?;
         }
-        for number in 0..FRONTENDS {
+        Ok(())
+    }
+
+    fn start_frontends(&mut self) -> Result<(), String> {
+        for number in 0..self.frontends {
             let host = FIRST_FRONTEND + number;
             let (clients, readiness) = (self.address(host, 8662), self.address(host, 8663));
             let extra = format!("listen:\n  frontend: \"{clients}\"\n  readiness: \"{readiness}\"\n");
@@ -80,6 +88,14 @@
         Ok(())
     }
 
+    /// Kills all processes at the same moment, and waits until they have ended.
+    pub fn kill_all(&mut self) {
+        self.children.iter_mut().for_each(|child| drop(child.kill()));
+        self.children.iter_mut().for_each(|child| drop(child.wait()));
+        self.children.clear();
+        self.bootstrap = false;
+    }
+
     /// Writes the settings of a machine and starts its roles with the commands of the deploy file.
     fn start_roles(
         &mut self,
@@ -96,7 +112,8 @@
             let command = self.command(role)?;
             let mut words = command.split(' ');
             let program = self.root.join(words.next().unwrap_or_default());
-            let log = File::create(self.folder.join(format!("{name}-{role}.log")));
+            let log = self.folder.join(format!("{name}-{role}.log"));
+            let log = OpenOptions::new().create(true).append(true).open(log);
             let log = log.map_err(|error| error.to_string())?;
             let errors = log.try_clone().map_err(|error| error.to_string())?;
             let child = Command::new(&program)
@@ -126,10 +143,10 @@
     fn settings(&self, name: &str, class: &str, host: u8) -> String {
         let seeds: Vec<String> = self.coordinators().iter().map(|seed| format!("  - \"{seed}\"\n")).collect();
         let (network, platform, seeds) = (&self.network, self.platform(), seeds.concat());
-        let is_core = class == "core";
+        let (is_core, bootstrap) = (class == "core", self.bootstrap);
         format!(
             "node_name: \"{name}\"\nmachine_class: \"{class}\"\nip: \"{network}.{host}\"\nzone: \"a\"\nregion: \"r\"\n\
-             internal_port_range:\n  - 7680\n  - 7695\nseed_nodes:\n{seeds}bootstrap: true\ncounts_for_quorum: {is_core}\n\
+             internal_port_range:\n  - 7680\n  - 7695\nseed_nodes:\n{seeds}bootstrap: {bootstrap}\ncounts_for_quorum: {is_core}\n\
              limits:\n  cpu_share: 1.0\n  cores: 1\n  memory_mb: 256\n  max_fds: 1024\n  link_mbps: 1000.0\n  disk_mb: 128\n\
              fault_tolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n\
              bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n  drain_ms: 3000\n  \
@@ -143,10 +160,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for child in &mut self.children {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill_all();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
