Agents say how far a frontend is behind and why links end; links through relays

The record of the incident can't tell its hypotheses apart: a link that this side closes after a failed write and one that the peer closes read the same, and nothing says that an announced configuration isn't in force.

- FrameWriter::close_cause tells why this side has closed a connection; the agent's line on a lost link says it, or "by the peer".
- The setting address_translation (announced address: actual address) lets agents and coordinators reach coordinators through relays, as address translation in a network needs it as well.
It is read at the start.

Tests of agent, control-link, node-settings and golden_metrics pass.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod backend_lists;
 mod configuration_fetch;
+mod configuration_lag;
 pub mod coordinator_selection;
 mod effect;
 mod event;
@@ -29,6 +30,7 @@
 pub use main_loop::Agent;
 pub use state::{AgentState, AgentStatus, POLL_INTERVAL};
 
+use control_link::AddressTranslation;
 use node_settings::{Settings, SettingsWatcher};
 use role_runtime::metrics::MetricsEndpoint;
 use role_runtime::process;
@@ -63,7 +65,8 @@
     let mut watcher =
         std::env::var_os(node_settings::PATH_VARIABLE).map(|path| SettingsWatcher::new(path.into()));
     let listener = control_link::listen(settings.agent_address())?;
-    let mut agent = Agent::start(identity(&settings), seeds(&settings), listener);
+    let translation = AddressTranslation::new(settings.address_translation.clone());
+    let mut agent = Agent::start(identity(&settings), seeds(&settings), translation, listener);
     role_runtime::metrics::start(settings.ip, metrics.as_ref(), agent.metrics());
     log::info!("agent of {}: listening for its proxy at {}", settings.node_name, settings.agent_address());
     let mut watch = tokio::time::interval(SETTINGS_POLL_INTERVAL);
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -2,9 +2,10 @@
 
 use crate::event::Event;
 use crate::ids::LinkId;
-use control_link::{LinkError, LinkStep};
+use control_link::{AddressTranslation, CloseCause, LinkError, LinkStep};
 use control_protocol::{ConfigurationSequence, FromAgent, ToAgent, VERSION};
 use std::collections::HashMap;
+use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -37,6 +38,7 @@
 /// State that the tasks of all links share.
 struct Shared {
     identity: Arc<AgentIdentity>,
+    translation: AddressTranslation,
     events: Sender<Event>,
     last_id: AtomicU64,
     /// Set when the agent leaves: links that end are no longer reopened.
@@ -50,10 +52,11 @@
 }
 
 impl CoordinatorLinks {
-    /// Creates a set without links. The tasks will send their events to `events`.
-    pub fn new(identity: Arc<AgentIdentity>, events: Sender<Event>) -> Self {
+    /// Creates a set without links. The tasks will send their events to `events`. `translation` tells where the
+    /// coordinators are reached.
+    pub fn new(identity: Arc<AgentIdentity>, translation: AddressTranslation, events: Sender<Event>) -> Self {
         let (last_id, is_leaving) = (AtomicU64::default(), AtomicBool::default());
-        let shared = Arc::new(Shared { identity, events, last_id, is_leaving });
+        let shared = Arc::new(Shared { identity, translation, events, last_id, is_leaving });
         CoordinatorLinks { shared, tasks: HashMap::new() }
     }
 
@@ -92,21 +95,40 @@
 /// Why a link ended or could not be opened.
 struct LinkEnd {
     error: LinkError,
+    /// Why this side has closed the link; `None` if it has not.
+    cause: Option<CloseCause>,
     /// Whether the coordinator had sent any message.
     was_up: bool,
 }
 
+impl LinkEnd {
+    /// The end of a link that was never up.
+    fn not_established(error: LinkError) -> Self {
+        LinkEnd { error, cause: None, was_up: false }
+    }
+}
+
+impl fmt::Display for LinkEnd {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.error, self.cause) {
+            (LinkError::Closed(_), Some(cause)) => write!(formatter, "{} ({cause})", self.error),
+            (LinkError::Closed(_), None) => write!(formatter, "{} (by the peer)", self.error),
+            _ => self.error.fmt(formatter),
+        }
+    }
+}
+
 impl Shared {
     async fn keep_connected(self: Arc<Self>, address: SocketAddrV4) {
         let mut backoff = INITIAL_BACKOFF;
         while !self.events.is_closed() && !self.is_leaving.load(Ordering::Relaxed) {
             let id = LinkId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
-            let LinkEnd { error, was_up } = self.serve_link(address, id).await;
-            if was_up {
-                log::warn!("coordinator {address}: link lost: {error}");
+            let end = self.serve_link(address, id).await;
+            if end.was_up {
+                log::warn!("coordinator {address}: link lost: {end}");
                 backoff = INITIAL_BACKOFF;
             } else {
-                log::debug!("coordinator {address}: {error}");
+                log::debug!("coordinator {address}: {end}");
             }
             sleep(backoff).await;
             backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -115,13 +137,13 @@
 
     /// Opens one link and sends its messages to the main loop until the link ends.
     async fn serve_link(&self, address: SocketAddrV4, id: LinkId) -> LinkEnd {
-        let stream = match control_link::connect(address).await {
+        let stream = match control_link::connect(self.translation.resolve(address)).await {
             Ok(stream) => stream,
-            Err(error) => return LinkEnd { error, was_up: false },
+            Err(error) => return LinkEnd::not_established(error),
         };
         let (mut incoming, outgoing) = control_link::split(stream, address.into());
         if let Err(error) = outgoing.send(&self.hello()) {
-            return LinkEnd { error, was_up: false };
+            return LinkEnd::not_established(error);
         }
         let mut is_up = false;
         let error = loop {
@@ -138,11 +160,12 @@
             }
             let _ = self.events.send(Event::CoordinatorMessage(id, message)).await;
         };
+        let cause = outgoing.close_cause();
         outgoing.close();
         if is_up {
             let _ = self.events.send(Event::CoordinatorDisconnected(id)).await;
         }
-        LinkEnd { error, was_up: is_up }
+        LinkEnd { error, cause, was_up: is_up }
     }
 
     fn hello(&self) -> FromAgent {
--- a/crates/agent/src/main_loop.rs
+++ b/crates/agent/src/main_loop.rs
@@ -8,7 +8,7 @@
 use crate::metrics::AgentMetrics;
 use crate::proxy_connections;
 use crate::state::{AgentState, POLL_INTERVAL};
-use control_link::FrameWriter;
+use control_link::{AddressTranslation, FrameWriter};
 use control_protocol::{FromAgent, ToProxy};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -55,15 +55,21 @@
 
 impl Agent {
     /// Starts an agent on the current Tokio runtime. `seeds` are the addresses at which coordinators accept
-    /// connections from agents; `listener` accepts those of the proxy.
-    pub fn start(identity: AgentIdentity, seeds: Vec<SocketAddrV4>, listener: TcpListener) -> Self {
+    /// connections from agents, and `translation` tells where they are reached; `listener` accepts those of
+    /// the proxy.
+    pub fn start(
+        identity: AgentIdentity,
+        seeds: Vec<SocketAddrV4>,
+        translation: AddressTranslation,
+        listener: TcpListener,
+    ) -> Self {
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let identity = Arc::new(identity);
         let now = Instant::now();
         let mut agent = Agent {
             started_at: now,
             state: AgentState::default(),
-            links: CoordinatorLinks::new(identity.clone(), sender.clone()),
+            links: CoordinatorLinks::new(identity.clone(), translation, sender.clone()),
             identity,
             seeds,
             coordinators: HashMap::new(),
@@ -141,7 +147,7 @@
         self.apply(effects);
         if self.last_poll + POLL_INTERVAL <= Instant::now() {
             self.last_poll = Instant::now();
-            self.metrics.update(&self.state);
+            self.metrics.update(self.now(), &self.state);
             self.select_links();
         }
     }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use role_runtime::metrics::{MetricsSource, counter, gauge};
+use std::time::Duration;
 
 /// The metrics of one agent, with the registry that they are exposed from.
 pub struct AgentMetrics {
@@ -12,6 +13,8 @@
     view: Gauge,
     configuration_sequence: Gauge,
     in_force: Gauge,
+    announced: Gauge,
+    configuration_lag: Gauge,
     links: Gauge,
     links_made: Counter,
     list_version: Gauge,
@@ -27,6 +30,14 @@
             gauge("configuration_sequence", "Sequence number of the newest configuration received");
         let in_force =
             gauge("in_force_sequence", "Sequence number of the configuration in force at the proxy");
+        let announced = gauge(
+            "announced_sequence",
+            "Sequence number of the newest configuration announced by a coordinator",
+        );
+        let configuration_lag = gauge(
+            "configuration_lag_milliseconds",
+            "How long an announced configuration has not been in force at the proxy; 0 if the newest one is",
+        );
         let links = gauge("links", "Number of links to coordinators that are up");
         let list_version = gauge("list_version", "Version of the list of backends");
         let proxy = gauge("proxy", "Whether the proxy is connected, 0 or 1");
@@ -37,6 +48,8 @@
             view,
             configuration_sequence,
             in_force,
+            announced,
+            configuration_lag,
             links,
             links_made,
             list_version,
@@ -52,11 +65,13 @@
     }
 
     /// Sets the gauges to the state of the agent.
-    pub fn update(&self, state: &AgentState) {
+    pub fn update(&self, now: Duration, state: &AgentState) {
         let status = state.status();
         self.view.set(status.view as i64);
         self.configuration_sequence.set(state.configuration_sequence().number() as i64);
         self.in_force.set(status.in_force.number() as i64);
+        self.announced.set(status.announced.number() as i64);
+        self.configuration_lag.set(state.configuration_lag(now).as_millis() as i64);
         self.links.set(status.links as i64);
         self.list_version.set(status.list_version.number() as i64);
         self.proxy.set(i64::from(state.has_proxy()));
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -3,6 +3,7 @@
 
 use crate::backend_lists::BackendLists;
 use crate::configuration_fetch::{ConfigurationFetch, ConfigurationSource};
+use crate::configuration_lag::ConfigurationLag;
 use crate::effect::{Configuration, Effect};
 use crate::ids::LinkId;
 use crate::quota_contact::QuotaContact;
@@ -65,6 +66,8 @@
     pub view: u64,
     /// The sequence number of the configuration in force at the proxy; 0 for none.
     pub in_force: ConfigurationSequence,
+    /// The sequence number of the newest configuration that a coordinator has announced; 0 for none.
+    pub announced: ConfigurationSequence,
     /// The number of links that are up.
     pub links: usize,
     /// The version of the list of backends; 0 for none.
@@ -83,6 +86,7 @@
     /// before.
     nodes: u32,
     fetch: ConfigurationFetch,
+    lag: ConfigurationLag,
     lists: BackendLists,
     proxy: Option<Proxy>,
     quota_contact: QuotaContact,
@@ -109,11 +113,18 @@
         AgentStatus {
             view: self.view.number,
             in_force: self.in_force,
+            announced: self.lag.newest_announced(),
             links: self.links.len(),
             list_version: self.lists.version().unwrap_or(BackendListVersion::NONE),
         }
     }
 
+    /// How long the proxy has been without an announced configuration, and no newer one has come into force
+    /// there; zero if it has the newest one.
+    pub fn configuration_lag(&self, now: Duration) -> Duration {
+        self.lag.age(now)
+    }
+
     /// Whether at least one link is up.
     pub fn is_connected(&self) -> bool {
         !self.links.is_empty()
@@ -169,6 +180,7 @@
                 if let Some(link) = self.links.get_mut(&id) {
                     link.announced = link.announced.max(sequence);
                 }
+                self.lag.record_announced(now, sequence);
                 self.fetch_if_due(now)
             }
             ToAgent::NewestConfiguration { request_id, .. } => {
@@ -405,7 +417,7 @@
     pub fn handle_proxy_up(&mut self, now: Duration, in_force: ConfigurationSequence) -> Vec<Effect> {
         log::info!("proxy connected with configuration {in_force} in force");
         self.proxy = Some(Proxy { sequence: in_force, sent_status: None });
-        self.in_force = in_force;
+        self.set_in_force(now, in_force);
         // Earlier responses of the quota leader were to the previous process.
         self.quota_contact = QuotaContact::default();
         // A new process has a new index: the auditor discards the previous one and receives the new one
@@ -440,7 +452,7 @@
     pub fn handle_proxy_message(&mut self, now: Duration, message: FromProxy) -> Vec<Effect> {
         match message {
             FromProxy::ConfigurationApplied { sequence } => {
-                self.in_force = sequence;
+                self.set_in_force(now, sequence);
                 self.send_to_all(now, &FromAgent::ConfigurationApplied { sequence })
             }
             FromProxy::QuotaRequest(request) => self.send_quota_request(now, request),
@@ -451,6 +463,31 @@
         }
     }
 
+    fn set_in_force(&mut self, now: Duration, sequence: ConfigurationSequence) {
+        self.in_force = sequence;
+        self.lag.record_in_force(now, sequence);
+    }
+
+    /// Logs that the proxy lacks an announced configuration, with what tells where it is stuck.
+    fn report_configuration_lag(&mut self, now: Duration) {
+        if !self.lag.take_due_report(now) {
+            return;
+        }
+        let describe =
+            |(id, link): (&LinkId, &Link)| format!("{id} {} announced {}", link.address, link.announced);
+        let links: Vec<String> = self.links.iter().map(describe).collect();
+        log::warn!(
+            "configuration {} is not in force for {} ms: {} received, {} in force at the proxy{}; view {}, links: {}",
+            self.lag.newest_announced(),
+            self.lag.age(now).as_millis(),
+            self.configuration_sequence(),
+            self.in_force,
+            if self.proxy.is_some() { "" } else { " that is not connected" },
+            self.view.number,
+            links.join(", ")
+        );
+    }
+
     /// Sends changes of the index to the head of the chain, which audits it. A new head first receives the
     /// complete index.
     fn send_index_changes(&mut self, now: Duration, message: FromAgent) -> Vec<Effect> {
@@ -481,6 +518,7 @@
 
     /// Does periodic work. Must be called every [`POLL_INTERVAL`], and at [`Self::next_deadline`].
     pub fn poll(&mut self, now: Duration) -> Vec<Effect> {
+        self.report_configuration_lag(now);
         let mut effects = self.fetch_if_due(now);
         if let Some(version) = self.lists.version() {
             for id in self.lists.take_stale_links(now) {
--- a/crates/agent/tests/agent_state.rs
+++ b/crates/agent/tests/agent_state.rs
@@ -419,3 +419,18 @@
     let forwarded = vec![Effect::SendToProxy(ToProxy::IndexCorrections(vec![change]))];
     assert_eq!(agent.handle_coordinator_message(at(13), A, corrections), forwarded);
 }
+
+#[test]
+fn the_lag_counts_from_the_announcement_and_ends_when_the_configuration_is_in_force() {
+    let mut agent = agent();
+    assert_eq!(agent.configuration_lag(at(900)), Duration::ZERO);
+    agent.handle_coordinator_message(at(1000), A, available(2));
+    agent.handle_coordinator_message(at(1400), B, available(3));
+    assert_eq!(agent.configuration_lag(at(1500)), Duration::from_millis(500));
+    let applied = |sequence| FromProxy::ConfigurationApplied { sequence: ConfigurationSequence(sequence) };
+    agent.handle_proxy_message(at(1600), applied(2));
+    assert_eq!(agent.configuration_lag(at(1700)), Duration::from_millis(100), "3 is still missing");
+    agent.handle_proxy_message(at(1800), applied(3));
+    assert_eq!(agent.configuration_lag(at(2500)), Duration::ZERO);
+    assert_eq!(agent.status().announced, ConfigurationSequence(3));
+}
--- a/crates/agent/tests/agents/mod.rs
+++ b/crates/agent/tests/agents/mod.rs
@@ -2,7 +2,7 @@
 
 use agent::{Agent, AgentIdentity};
 use bytes::Bytes;
-use control_link::{FrameReader, FrameWriter};
+use control_link::{AddressTranslation, FrameReader, FrameWriter};
 use control_protocol::{
     Backend, BackendList, BackendListVersion, BackendState, ConfigurationSequence, CoreMember, FromAgent,
     FromProxy, ToAgent, ToProxy, VERSION,
@@ -47,7 +47,7 @@
             zone: "z".into(),
             configuration_sequence: 0.into(),
         };
-        let mut agent = Agent::start(identity, seeds, listener);
+        let mut agent = Agent::start(identity, seeds, AddressTranslation::default(), listener);
         let leave = Arc::new(Notify::new());
         let leave_requested = leave.clone();
         let task = tokio::spawn(async move {
--- a/crates/control-link/src/frame_writer.rs
+++ b/crates/control-link/src/frame_writer.rs
@@ -4,8 +4,10 @@
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 use std::collections::VecDeque;
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{Notify, watch};
@@ -27,6 +29,27 @@
     _close_on_drop: Arc<CloseOnDrop>,
 }
 
+/// Why this side has closed a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseCause {
+    /// A write failed, with an error of this kind.
+    WriteFailed(io::ErrorKind),
+    /// The send queue was full, as the peer doesn't read.
+    QueueFull,
+    /// The owner of the connection has closed it.
+    Requested,
+}
+
+impl fmt::Display for CloseCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CloseCause::WriteFailed(kind) => write!(formatter, "write failed: {kind}"),
+            CloseCause::QueueFull => formatter.write_str("send queue full"),
+            CloseCause::Requested => formatter.write_str("closed by this side"),
+        }
+    }
+}
+
 /// Waits for the end of a connection, without keeping it open.
 #[derive(Clone, Debug)]
 pub struct CloseSignal {
@@ -39,6 +62,8 @@
     queue: Mutex<Queue>,
     frame_queued: Notify,
     closed: watch::Sender<bool>,
+    /// Set with the first cause for which this side closes the connection.
+    close_cause: OnceLock<CloseCause>,
 }
 
 #[derive(Debug, Default)]
@@ -52,14 +77,20 @@
 
 impl Drop for CloseOnDrop {
     fn drop(&mut self) {
-        self.0.close();
+        self.0.close(CloseCause::Requested);
     }
 }
 
 impl FrameWriter {
     pub(super) fn start(writer: OwnedWriteHalf, peer: SocketAddr) -> Self {
         let (closed, _) = watch::channel(false);
-        let shared = Arc::new(Shared { peer, queue: Mutex::default(), frame_queued: Notify::new(), closed });
+        let shared = Arc::new(Shared {
+            peer,
+            queue: Mutex::default(),
+            frame_queued: Notify::new(),
+            closed,
+            close_cause: OnceLock::new(),
+        });
         tokio::spawn(run_writer(writer, shared.clone()));
         FrameWriter { _close_on_drop: Arc::new(CloseOnDrop(shared.clone())), shared }
     }
@@ -91,7 +122,7 @@
             return Err(LinkError::Closed(self.shared.peer));
         }
         if !self.shared.queue().push(frame) {
-            self.close();
+            self.shared.close(CloseCause::QueueFull);
             return Err(LinkError::QueueFull(self.shared.peer));
         }
         self.shared.frame_queued.notify_one();
@@ -100,7 +131,12 @@
 
     /// Closes the connection. Frames that are still queued are not sent.
     pub fn close(&self) {
-        self.shared.close();
+        self.shared.close(CloseCause::Requested);
+    }
+
+    /// Why this side has closed the connection; `None` if it has not, also if the peer has.
+    pub fn close_cause(&self) -> Option<CloseCause> {
+        self.shared.close_cause.get().copied()
     }
 
     /// Whether the connection is closed, so that frames are no longer accepted.
@@ -127,7 +163,9 @@
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn close(&self) {
+    /// Closes the connection. Of several causes the first is kept.
+    fn close(&self, cause: CloseCause) {
+        self.close_cause.get_or_init(|| cause);
         self.closed.send_replace(true);
     }
 }
@@ -165,17 +203,15 @@
     let mut closed = CloseSignal { closed: shared.closed.subscribe() };
     tokio::select! {
         () = closed.wait() => {}
-        result = write_queue(&mut writer, &shared) => {
-            if let Err(error) = result {
-                log::debug!("write to {}: {error}", shared.peer);
-            }
+        Err(error) = write_queue(&mut writer, &shared) => {
+            log::debug!("write to {}: {error}", shared.peer);
+            shared.close(CloseCause::WriteFailed(error.kind()));
         }
     }
-    shared.close();
 }
 
 /// Writes the queued frames until an error occurs.
-async fn write_queue(writer: &mut OwnedWriteHalf, shared: &Shared) -> std::io::Result<()> {
+async fn write_queue(writer: &mut OwnedWriteHalf, shared: &Shared) -> io::Result<()> {
     loop {
         let next = shared.queue().next();
         match next {
--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -6,12 +6,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod address_translation;
 mod frame_reader;
 mod frame_writer;
 mod socket;
 
+pub use address_translation::AddressTranslation;
 pub use frame_reader::FrameReader;
-pub use frame_writer::{FrameWriter, MAX_QUEUED_BYTES, MAX_QUEUED_FRAMES};
+pub use frame_writer::{CloseCause, FrameWriter, MAX_QUEUED_BYTES, MAX_QUEUED_FRAMES};
 pub use socket::{CONNECT_TIMEOUT, USER_TIMEOUT, configure_accepted, connect, listen};
 
 use quick_error::quick_error;
--- a/crates/control-link/tests/link.rs
+++ b/crates/control-link/tests/link.rs
@@ -1,7 +1,7 @@
 //! Links over loopback: frames arrive complete and in order, and the connection to a peer that doesn't read
 //! is closed.
 
-use control_link::LinkError;
+use control_link::{AddressTranslation, CloseCause, LinkError};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use tokio::net::TcpStream;
 
@@ -68,3 +68,32 @@
     accepted.try_write(b"GET / HTTP/1.1\r\n\r\n").expect("written");
     assert!(matches!(here.next::<u64>().await, Err(LinkError::Frame(..))));
 }
+
+#[tokio::test]
+async fn the_cause_of_a_close_on_this_side_is_known() {
+    let (opened, accepted, peer) = pair().await;
+    let (mut here, to_there) = control_link::split(opened, peer);
+    let (there, to_here) = control_link::split(accepted, peer);
+    assert_eq!(to_there.close_cause(), None);
+    drop((there, to_here));
+    assert!(matches!(here.next::<u64>().await, Err(LinkError::Closed(_))));
+    assert_eq!(to_there.close_cause(), None, "the peer has closed it");
+    to_there.close();
+    assert_eq!(to_there.close_cause(), Some(CloseCause::Requested));
+
+    let (opened, _accepted, peer) = pair().await;
+    let (_, to_there) = control_link::split(opened, peer);
+    let message = "x".repeat(1 << 20);
+    while to_there.send(&message).is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(to_there.close_cause(), Some(CloseCause::QueueFull));
+}
+
+#[test]
+fn announced_addresses_are_translated_and_others_left_as_they_are() {
+    let address = |port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+    let translation = AddressTranslation::new([(address(1), address(2))].into());
+    assert_eq!(translation.resolve(address(1)), address(2));
+    assert_eq!(translation.resolve(address(2)), address(2));
+}
--- a/crates/coordinator/src/peers.rs
+++ b/crates/coordinator/src/peers.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::peer_protocol::{Hello, PeerMessage};
 use bytes::Bytes;
-use control_link::{FrameReader, FrameWriter, LinkError};
+use control_link::{AddressTranslation, FrameReader, FrameWriter, LinkError};
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,6 +29,7 @@
     own_address: SocketAddrV4,
     node: String,
     clock: Clock,
+    translation: AddressTranslation,
     connections: Mutex<HashMap<SocketAddrV4, PeerConnection>>,
 }
 
@@ -60,9 +61,14 @@
 
 impl Peers {
     /// Starts without connections. `own_address` is where this coordinator listens, `node` the name of its
-    /// node.
-    pub fn new(own_address: SocketAddrV4, node: String, clock: Clock) -> Self {
-        Peers { own_address, node, clock, connections: Mutex::default() }
+    /// node. `translation` tells where the other coordinators are reached.
+    pub fn new(
+        own_address: SocketAddrV4,
+        node: String,
+        clock: Clock,
+        translation: AddressTranslation,
+    ) -> Self {
+        Peers { own_address, node, clock, translation, connections: Mutex::default() }
     }
 
     /// The address at which this coordinator listens for coordinators and agents.
@@ -168,7 +174,7 @@
     }
 
     async fn open(&self, to: SocketAddrV4) -> Result<FrameReader, LinkError> {
-        let stream = control_link::connect(to).await?;
+        let stream = control_link::connect(self.translation.resolve(to)).await?;
         let (incoming, outgoing) = control_link::split(stream, SocketAddr::V4(to));
         let version = control_protocol::VERSION;
         outgoing.send(&Hello::Peer { version, node: self.node.clone(), address: self.own_address })?;
--- a/crates/coordinator/src/startup.rs
+++ b/crates/coordinator/src/startup.rs
@@ -14,7 +14,7 @@
 use crate::replica_driver::ReplicaDriver;
 use crate::storage::{ReplicaLog, Storage};
 use crate::tasks;
-use control_link::LinkError;
+use control_link::{AddressTranslation, LinkError};
 use node_settings::Settings;
 use policy::Policy;
 use quick_error::quick_error;
@@ -161,7 +161,8 @@
 ) -> CoordinatorNode {
     let own_address = settings.coordinator_address(settings.ip);
     let clock = Clock::start();
-    let peers = Arc::new(Peers::new(own_address, settings.node_name.clone(), clock));
+    let translation = AddressTranslation::new(settings.address_translation.clone());
+    let peers = Arc::new(Peers::new(own_address, settings.node_name.clone(), clock, translation));
     let agents = Arc::new(Agents::new(clock));
     let endpoints = Arc::new(EndpointRegistry::new(peers.clone(), agents.clone(), clock));
     let index_audits = Arc::new(IndexAudits::new(agents.clone(), clock));
--- a/crates/coordinator/tests/golden_metrics.rs
+++ b/crates/coordinator/tests/golden_metrics.rs
@@ -23,6 +23,7 @@
 use role_runtime::metrics::{MetricsSource, listen};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Serves metrics over HTTP, and returns the status, the headers and the body of the response.
 async fn metrics_response(metrics: Arc<dyn MetricsSource>) -> String {
@@ -93,7 +94,7 @@
 async fn agent_metrics_match_the_golden_file() {
     let metrics = AgentMetrics::default();
     metrics.count_link();
-    metrics.update(&AgentState::default());
+    metrics.update(Duration::ZERO, &AgentState::default());
     compare::assert_matches_golden(
         "interfaces/metrics_agent.txt",
         &metrics_response(Arc::new(metrics)).await,
--- a/crates/node-settings/src/settings.rs
+++ b/crates/node-settings/src/settings.rs
@@ -37,6 +37,10 @@
     /// The operator interfaces of some coordinators, as known when the file was written.
     #[serde(default)]
     pub seed_nodes: Vec<SocketAddrV4>,
+    /// Where to connect to instead of an announced address, for coordinators behind a relay or a network that
+    /// translates addresses; empty if there is none.
+    #[serde(default)]
+    pub address_translation: BTreeMap<SocketAddrV4, SocketAddrV4>,
     /// Whether the fleet starts for the first time, with empty disks, so that the coordinators may form the
     /// first chain.
     #[serde(default)]
--- a/crates/node-settings/tests/golden.rs
+++ b/crates/node-settings/tests/golden.rs
@@ -52,6 +52,7 @@
         listen,
         internal_port_range,
         seed_nodes,
+        address_translation,
         bootstrap,
         counts_for_quorum,
         limits,
@@ -73,6 +74,7 @@
     dump.add_optional("listen.control", *control);
     dump.add("internal_port_range", internal_port_range);
     dump.add("seed_nodes", seed_nodes);
+    dump.add("address_translation", address_translation);
     dump.add("bootstrap", bootstrap);
     dump.add("counts_for_quorum", counts_for_quorum);
     let Limits { cpu_share, cores, memory_mb, max_fds, link_mbps, disk_mb } = limits;
