A failing test: an agent never finds a core whose members were all replaced

A frontend that is cut off or stopped while every coordinator is replaced keeps its old configuration after it is back, until its agent is restarted: as it connects to a seed it takes itself for connected, selects the members of the view that it knows, none of which exists any more, and closes the link before the view that comes on it is handled.

--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -199,3 +199,42 @@
         }
     }
 }
+
+/// How often the new coordinator accepts a link before the test fails.
+const ACCEPTED_LINKS: usize = 4;
+
+/// Whether the agent keeps a link from this coordinator until it has requested a configuration there.
+async fn fetches_from_new_core(listener: &tokio::net::TcpListener, address: std::net::SocketAddrV4) -> bool {
+    let mut coordinator = Coordinator::accept(listener).await;
+    coordinator.send(view(2, &[address]));
+    coordinator.send(ToAgent::ConfigurationAvailable { sequence: ConfigurationSequence(2) });
+    while let Some(message) = coordinator.try_receive().await {
+        if matches!(message, FromAgent::FetchConfiguration { .. }) {
+            return true;
+        }
+    }
+    false
+}
+
+/// A frontend that was cut off while every coordinator was replaced kept serving its old configuration.
+#[tokio::test]
+async fn a_core_that_was_replaced_completely_is_found_through_the_seeds() {
+    // Until it replaces the old core, nobody listens at the address of the new one.
+    let (reserved, new_address) = listener();
+    drop(reserved);
+    let (old, old_address) = listener();
+    let agent = RunningAgent::start(vec![old_address, new_address]);
+    let mut former = Coordinator::accept(&old).await;
+    former.send(view(1, &[old_address]));
+    former.send(ToAgent::ConfigurationAvailable { sequence: ConfigurationSequence(1) });
+    former.respond_to_fetch(1).await;
+    assert_eq!(Proxy::connect(agent.address, 0).await.receive_configuration().await, 1);
+    drop((former, old));
+    let new = control_link::listen(new_address).expect("listen");
+    for _ in 0..ACCEPTED_LINKS {
+        if fetches_from_new_core(&new, new_address).await {
+            return;
+        }
+    }
+    panic!("the agent closes each link to the new core before it has learnt the new view");
+}
