Agents keep their seeds until a member of the newest view is in contact

Cause: the agent took itself for connected as soon as any link was up, and selected its links after each event. The only coordinators that it can reach then are seeds. The event that a seed's link is up made the agent select the members of the view that it knew, none of which exists; the link was closed, and the view that had come on it, the next message in the queue, was dropped. A second later it began again.

An agent is now in contact with the core if a link to a member of the newest view is up and that member has contact with a majority; until then it keeps the seeds. That also covers a member that is cut off from the others and knows an old view only. It logs as it loses the contact and finds it again; before, nothing was logged in this state.

--- a/crates/agent/src/coordinator_selection.rs
+++ b/crates/agent/src/coordinator_selection.rs
@@ -9,12 +9,12 @@
 /// The most addresses that are connected to at the same time. Guards against a long list of seeds.
 const MAX_TARGETS: usize = 8;
 
-/// Whether an agent has links to coordinators.
+/// Whether an agent is in contact with the core.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Connectivity {
-    /// At least one link is up, or was until a short while ago.
+    /// A member of the newest view is in contact, or was until a short while ago.
     Connected,
-    /// No link has been up for a while, or no member is known.
+    /// No member has been in contact for a while, or none is known.
     Disconnected,
 }
 
--- a/crates/agent/src/main_loop.rs
+++ b/crates/agent/src/main_loop.rs
@@ -22,7 +22,7 @@
 
 /// The capacity of the queue of events.
 const EVENT_QUEUE_CAPACITY: usize = 256;
-/// How long the agent has no link before it connects to the seeds as well.
+/// How long the agent has no contact with the core before it connects to the seeds as well.
 const SEED_DELAY: Duration = Duration::from_secs(1);
 
 /// A coordinator whose link is up.
@@ -44,8 +44,9 @@
     links: CoordinatorLinks,
     seeds: Vec<SocketAddrV4>,
     coordinators: HashMap<LinkId, Coordinator>,
-    /// When at least one link was last up.
-    last_connected: Instant,
+    /// When the agent last had contact with the core.
+    last_core_contact: Instant,
+    connectivity: Connectivity,
     proxy: Option<Proxy>,
     events: Receiver<Event>,
     acceptor: JoinHandle<()>,
@@ -73,7 +74,8 @@
             identity,
             seeds,
             coordinators: HashMap::new(),
-            last_connected: now - SEED_DELAY,
+            last_core_contact: now - SEED_DELAY,
+            connectivity: Connectivity::Disconnected,
             proxy: None,
             events,
             acceptor: tokio::spawn(proxy_connections::accept(listener, sender)),
@@ -192,18 +194,19 @@
 
     /// Opens and drops links so that they match the selection of coordinators.
     fn select_links(&mut self) {
-        if self.state.is_connected() {
-            self.last_connected = Instant::now();
+        if self.state.has_core_contact() {
+            self.last_core_contact = Instant::now();
         }
         let members = self.state.members();
-        // Seeds are added only after `SEED_DELAY` without any link: a brief loss of all links doesn't change
-        // the selection, and links that are up are kept while others come up.
-        let was_connected = self.last_connected.elapsed() < SEED_DELAY;
-        let connectivity = if was_connected && !members.is_empty() {
-            Connectivity::Connected
-        } else {
-            Connectivity::Disconnected
-        };
+        // Seeds are added only after `SEED_DELAY` without contact, so that a brief loss of all links doesn't
+        // change the selection. They are kept until a member is in contact: the members that are known may no
+        // longer exist, and only a seed tells the newest view.
+        let had_contact = self.last_core_contact.elapsed() < SEED_DELAY;
+        let connectivity = if had_contact { Connectivity::Connected } else { Connectivity::Disconnected };
+        if self.connectivity != connectivity {
+            log_connectivity(connectivity, self.seeds.len());
+            self.connectivity = connectivity;
+        }
         let targets = select_coordinators(&self.identity.node, members, &self.seeds, connectivity);
         for address in self.links.set_targets(&targets) {
             self.remove_dropped_links(address);
@@ -258,6 +261,15 @@
     }
 }
 
+fn log_connectivity(connectivity: Connectivity, seeds: usize) {
+    match connectivity {
+        Connectivity::Connected => log::info!("in contact with the core"),
+        Connectivity::Disconnected => {
+            log::warn!("no contact with the core for {SEED_DELAY:?}; connecting to {seeds} seeds as well");
+        }
+    }
+}
+
 impl Drop for Agent {
     fn drop(&mut self) {
         self.acceptor.abort();
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -125,9 +125,11 @@
         self.lag.age(now)
     }
 
-    /// Whether at least one link is up.
-    pub fn is_connected(&self) -> bool {
-        !self.links.is_empty()
+    /// Whether a link to a member of the newest view is up, and that member has contact with a majority. Any
+    /// other coordinator may know only an older view, and no newer one would be learned from it.
+    pub fn has_core_contact(&self) -> bool {
+        let is_member = |address| self.view.members.iter().any(|member| member.address == address);
+        self.links.values().any(|link| link.has_quorum_contact && is_member(link.address))
     }
 
     /// Whether a proxy is connected at present.
