Links of agents report their own end, also when they are dropped

As an agent dropped a link it aborted the link's task and took the link out of its table. If the event that the link is up was still in the queue, the link came into the table afterwards: nothing would ever take it out. It stayed open on the writing side, counted as a link (so that the seeds were never tried again), and as the link to the head if that coordinator became the head: limits were then asked for where no answer is read.

The task of a link is no longer aborted: it is told to stop, closes its link and reports the end after all other events of that link. The main loop has one way to learn of an end.

The test forces the order (the view that drops the coordinator is handled before the event that its link is up).

--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// The pause before the first attempt to reconnect to a coordinator; doubled after each failed attempt.
@@ -45,10 +45,27 @@
     is_leaving: AtomicBool,
 }
 
-/// The tasks of the links, by the address of their coordinator. Dropping this aborts them.
+/// Keeps the task of a coordinator's links running. Dropping it makes the task close its link and end. A link
+/// that was reported as up is also reported as down, after all of its messages: the order of the events is
+/// that of one task.
+struct TaskGuard {
+    _running: watch::Sender<()>,
+}
+
+/// Tells a task that its [`TaskGuard`] was dropped.
+struct StopSignal(watch::Receiver<()>);
+
+impl StopSignal {
+    /// Waits until the guard is dropped. Cancel safe.
+    async fn wait(&mut self) {
+        while self.0.changed().await.is_ok() {}
+    }
+}
+
+/// The tasks of the links, by the address of their coordinator. Dropping this ends them.
 pub(crate) struct CoordinatorLinks {
     shared: Arc<Shared>,
-    tasks: HashMap<SocketAddrV4, JoinHandle<()>>,
+    tasks: HashMap<SocketAddrV4, TaskGuard>,
 }
 
 impl CoordinatorLinks {
@@ -60,24 +77,22 @@
         CoordinatorLinks { shared, tasks: HashMap::new() }
     }
 
-    /// Opens the missing links to these coordinators, and drops the links to all others. Returns the
-    /// addresses of the dropped links, as no event reports their end.
-    pub fn set_targets(&mut self, targets: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
-        let dropped: Vec<SocketAddrV4> =
-            self.tasks.keys().filter(|address| !targets.contains(address)).copied().collect();
-        for address in &dropped {
-            log::info!("coordinator {address}: no longer selected, link closed");
-            if let Some(task) = self.tasks.remove(address) {
-                task.abort();
+    /// Opens the missing links to these coordinators, and closes the links to all others.
+    pub fn set_targets(&mut self, targets: &[SocketAddrV4]) {
+        self.tasks.retain(|address, _| {
+            let is_selected = targets.contains(address);
+            if !is_selected {
+                log::info!("coordinator {address}: no longer selected, link closed");
             }
-        }
+            is_selected
+        });
         for address in targets {
             if !self.tasks.contains_key(address) {
-                let task = tokio::spawn(self.shared.clone().keep_connected(*address));
-                self.tasks.insert(*address, task);
+                let (running, stopped) = watch::channel(());
+                tokio::spawn(self.shared.clone().keep_connected(*address, StopSignal(stopped)));
+                self.tasks.insert(*address, TaskGuard { _running: running });
             }
         }
-        dropped
     }
 
     /// Stops reopening links that end.
@@ -86,12 +101,6 @@
     }
 }
 
-impl Drop for CoordinatorLinks {
-    fn drop(&mut self) {
-        self.tasks.values().for_each(JoinHandle::abort);
-    }
-}
-
 /// Why a link ended or could not be opened.
 struct LinkEnd {
     error: LinkError,
@@ -119,38 +128,56 @@
 }
 
 impl Shared {
-    async fn keep_connected(self: Arc<Self>, address: SocketAddrV4) {
+    /// Opens one link after the other until the task is stopped.
+    async fn keep_connected(self: Arc<Self>, address: SocketAddrV4, mut stopped: StopSignal) {
         let mut backoff = INITIAL_BACKOFF;
         while !self.events.is_closed() && !self.is_leaving.load(Ordering::Relaxed) {
             let id = LinkId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1);
-            let end = self.serve_link(address, id).await;
+            let Some(end) = self.serve_link(address, id, &mut stopped).await else { return };
             if end.was_up {
                 log::warn!("coordinator {address}: link lost: {end}");
                 backoff = INITIAL_BACKOFF;
             } else {
                 log::debug!("coordinator {address}: {end}");
             }
-            sleep(backoff).await;
+            tokio::select! {
+                () = sleep(backoff) => {}
+                () = stopped.wait() => return,
+            }
             backoff = (backoff * 2).min(MAX_BACKOFF);
         }
     }
 
-    /// Opens one link and sends its messages to the main loop until the link ends.
-    async fn serve_link(&self, address: SocketAddrV4, id: LinkId) -> LinkEnd {
-        let stream = match control_link::connect(self.translation.resolve(address)).await {
+    /// Opens one link and sends its messages to the main loop until the link ends. Returns why it has ended;
+    /// `None` if the task is stopped.
+    async fn serve_link(
+        &self,
+        address: SocketAddrV4,
+        id: LinkId,
+        stopped: &mut StopSignal,
+    ) -> Option<LinkEnd> {
+        let connected = tokio::select! {
+            connected = control_link::connect(self.translation.resolve(address)) => connected,
+            () = stopped.wait() => return None,
+        };
+        let stream = match connected {
             Ok(stream) => stream,
-            Err(error) => return LinkEnd::not_established(error),
+            Err(error) => return Some(LinkEnd::not_established(error)),
         };
         let (mut incoming, outgoing) = control_link::split(stream, address.into());
         if let Err(error) = outgoing.send(&self.hello()) {
-            return LinkEnd::not_established(error);
+            return Some(LinkEnd::not_established(error));
         }
         let mut is_up = false;
         let error = loop {
-            let message = match timeout(COORDINATOR_TIMEOUT, incoming.next::<ToAgent>()).await {
+            let received = tokio::select! {
+                received = timeout(COORDINATOR_TIMEOUT, incoming.next::<ToAgent>()) => received,
+                () = stopped.wait() => break None,
+            };
+            let message = match received {
                 Ok(Ok(message)) => message,
-                Ok(Err(error)) => break error,
-                Err(_) => break LinkError::TimedOut(LinkStep::Read, incoming.peer()),
+                Ok(Err(error)) => break Some(error),
+                Err(_) => break Some(LinkError::TimedOut(LinkStep::Read, incoming.peer())),
             };
             // Sending an event fails only when the agent ends, and this task with it.
             if !std::mem::replace(&mut is_up, true) {
@@ -165,7 +192,7 @@
         if is_up {
             let _ = self.events.send(Event::CoordinatorDisconnected(id)).await;
         }
-        LinkEnd { error, cause, was_up: is_up }
+        error.map(|error| LinkEnd { error, cause, was_up: is_up })
     }
 
     fn hello(&self) -> FromAgent {
--- a/crates/agent/src/main_loop.rs
+++ b/crates/agent/src/main_loop.rs
@@ -25,12 +25,6 @@
 /// How long the agent has no contact with the core before it connects to the seeds as well.
 const SEED_DELAY: Duration = Duration::from_secs(1);
 
-/// A coordinator whose link is up.
-struct Coordinator {
-    address: SocketAddrV4,
-    outgoing: FrameWriter,
-}
-
 struct Proxy {
     id: ProxyId,
     outgoing: FrameWriter,
@@ -43,7 +37,8 @@
     identity: Arc<AgentIdentity>,
     links: CoordinatorLinks,
     seeds: Vec<SocketAddrV4>,
-    coordinators: HashMap<LinkId, Coordinator>,
+    /// The sending halves of the links that are up.
+    coordinators: HashMap<LinkId, FrameWriter>,
     /// When the agent last had contact with the core.
     last_core_contact: Instant,
     connectivity: Connectivity,
@@ -119,7 +114,7 @@
         self.links.leave();
         let message = self.state.leave_message();
         for coordinator in self.coordinators.values() {
-            if let Err(error) = coordinator.outgoing.send(&message) {
+            if let Err(error) = coordinator.send(&message) {
                 log::debug!("leave message not sent to a coordinator: {error}");
             }
         }
@@ -159,7 +154,7 @@
         let effects = match event {
             Event::CoordinatorConnected { id, address, outgoing } => {
                 self.metrics.count_link();
-                self.coordinators.insert(id, Coordinator { address, outgoing });
+                self.coordinators.insert(id, outgoing);
                 self.state.handle_link_up(now, id, address)
             }
             Event::CoordinatorMessage(id, _) if !self.coordinators.contains_key(&id) => return,
@@ -208,20 +203,7 @@
             self.connectivity = connectivity;
         }
         let targets = select_coordinators(&self.identity.node, members, &self.seeds, connectivity);
-        for address in self.links.set_targets(&targets) {
-            self.remove_dropped_links(address);
-        }
-    }
-
-    /// Removes the links to an address that is no longer selected: their task was aborted and sends no event.
-    fn remove_dropped_links(&mut self, address: SocketAddrV4) {
-        let at_address = |(_, coordinator): &(&LinkId, &Coordinator)| coordinator.address == address;
-        let dropped: Vec<LinkId> = self.coordinators.iter().filter(at_address).map(|(id, _)| *id).collect();
-        for id in dropped {
-            self.coordinators.remove(&id);
-            let effects = self.state.handle_link_down(self.now(), id);
-            self.apply(effects);
-        }
+        self.links.set_targets(&targets);
     }
 
     fn apply(&mut self, effects: Vec<Effect>) {
@@ -237,13 +219,13 @@
 
     fn close_link(&self, id: LinkId) {
         if let Some(coordinator) = self.coordinators.get(&id) {
-            coordinator.outgoing.close();
+            coordinator.close();
         }
     }
 
     fn send_to_coordinator(&self, id: LinkId, message: &FromAgent) {
         let Some(coordinator) = self.coordinators.get(&id) else { return };
-        if let Err(error) = coordinator.outgoing.send(message) {
+        if let Err(error) = coordinator.send(message) {
             log::debug!("message not sent to a coordinator: {error}");
         }
     }
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -2,7 +2,7 @@
 
 mod agents;
 
-use agents::{Coordinator, Proxy, RunningAgent, configuration, list, listener, view};
+use agents::{Coordinator, Proxy, RunningAgent, agent, configuration, list, listener, view};
 use control_protocol::{
     BackendListVersion, ConfigurationSequence, FromAgent, FromProxy, QuotaDemand, QuotaGrant, QuotaRequest,
     QuotaResponse, ToAgent, ToProxy,
@@ -238,3 +238,29 @@
     }
     panic!("the agent closes each link to the new core before it has learnt the new view");
 }
+
+/// Lets all other tasks run until they wait for something that has not been sent yet.
+async fn run_other_tasks() {
+    for _ in 0..2000 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A link that came up just as its coordinator was dropped stayed open, and in the agent's table of links.
+#[tokio::test]
+async fn a_link_that_comes_up_as_its_coordinator_is_dropped_is_closed() {
+    let ((one, first), (other, second), (own, address)) = (listener(), listener(), listener());
+    let agent = agent(own, vec![first, second]);
+    let (member, mut dropped) = (Coordinator::accept(&one).await, Coordinator::accept(&other).await);
+    // The main loop handles the view, which drops the second coordinator, before the event that its link is up.
+    member.send(view(1, &[first]));
+    run_other_tasks().await;
+    dropped.send(ToAgent::Heartbeat);
+    run_other_tasks().await;
+    let _agent = RunningAgent::run(agent, address);
+    let mut received = Vec::new();
+    while let Some(message) = dropped.try_receive().await {
+        received.push(message);
+        assert!(received.len() < 3, "the link is still in use: {received:?}");
+    }
+}
--- a/crates/agent/tests/agents/mod.rs
+++ b/crates/agent/tests/agents/mod.rs
@@ -41,13 +41,11 @@
     }
 
     pub fn at(listener: TcpListener, address: SocketAddrV4, seeds: Vec<SocketAddrV4>) -> Self {
-        let identity = AgentIdentity {
-            node: "n-1".into(),
-            ip: Ipv4Addr::LOCALHOST,
-            zone: "z".into(),
-            configuration_sequence: 0.into(),
-        };
-        let mut agent = Agent::start(identity, seeds, AddressTranslation::default(), listener);
+        RunningAgent::run(agent(listener, seeds), address)
+    }
+
+    /// Runs the main loop of an agent.
+    pub fn run(mut agent: Agent, address: SocketAddrV4) -> Self {
         let leave = Arc::new(Notify::new());
         let leave_requested = leave.clone();
         let task = tokio::spawn(async move {
@@ -74,6 +72,17 @@
     }
 }
 
+/// An agent whose links are being opened, and whose main loop does not run yet.
+pub fn agent(listener: TcpListener, seeds: Vec<SocketAddrV4>) -> Agent {
+    let identity = AgentIdentity {
+        node: "n-1".into(),
+        ip: Ipv4Addr::LOCALHOST,
+        zone: "z".into(),
+        configuration_sequence: 0.into(),
+    };
+    Agent::start(identity, seeds, AddressTranslation::default(), listener)
+}
+
 /// A coordinator's end of the connection from an agent.
 pub struct Coordinator {
     incoming: FrameReader,
