Agents keep a confirmation for each link and ask every coordinator in turn

Cause: an agent asked another coordinator 500 ms after the first, also while the document of the first was on its way, and kept one confirmation for all links. That of the second replaced that of the first, whose document was then thrown away as it arrived, and so on by turns. Beside that, of several coordinators with the same sequence it asked the link that had come up last and was not the one asked before: with three links the third was never asked, whatever became of the other two.

Each link has its own confirmation now. A request waits 500 ms for the confirmation, and once that has come as long as the document may take and still be fresh. Coordinators that were asked are not asked again before all others were.

The three new tests fail on the code before (3 of 3) and pass now.

--- a/crates/agent/src/configuration_fetch.rs
+++ b/crates/agent/src/configuration_fetch.rs
@@ -1,12 +1,13 @@
-//! Requests for newer configurations. They go to one coordinator at a time, and a configuration is accepted
-//! only if it was confirmed to be the newest a short time ago.
+//! Requests for newer configurations. They go to one coordinator at a time, and to all in turn; a
+//! configuration is accepted only if it was confirmed to be the newest a short time ago.
 
 use crate::ids::LinkId;
 use control_protocol::ConfigurationSequence;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// The time after which a request without a response is sent to another coordinator.
+/// The time after which a request without a confirmation is sent to another coordinator. Once one has
+/// confirmed that it sends the newest configuration, [`FRESHNESS_LIMIT`] applies, as the document may be large.
 pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The longest time between the request for a configuration and its arrival, not counting two seconds for
@@ -31,6 +32,7 @@
 /// The request for which a response is awaited.
 #[derive(Clone, Copy, Debug)]
 struct PendingRequest {
+    request_id: u64,
     link: LinkId,
     deadline: Duration,
 }
@@ -55,31 +57,31 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConfigurationFetch {
     pending: Option<PendingRequest>,
-    /// The link of the last request, unless its response has arrived.
-    last_link: Option<LinkId>,
+    /// The links that were asked since a configuration was last accepted, in this order.
+    asked: Vec<LinkId>,
     last_request_id: u64,
     sent: VecDeque<SentRequest>,
-    /// The request to which the next configuration on its link responds.
-    confirmed: Option<SentRequest>,
+    /// By link, the request to which the next configuration on it responds.
+    confirmed: BTreeMap<LinkId, SentRequest>,
 }
 
 impl ConfigurationFetch {
-    /// Begins a request to one of the coordinators with a newer configuration, preferably not the one that
-    /// was asked last. `None` if there is no such coordinator, and while a response is awaited.
+    /// Begins a request to one of the coordinators with a newer configuration: to the newest one that was not
+    /// asked yet. `None` if there is no such coordinator, and while a response is awaited.
     pub fn begin_if_due(&mut self, now: Duration, sources: &[ConfigurationSource]) -> Option<FetchRequest> {
         if self.pending.is_some_and(|pending| now < pending.deadline) {
             return None;
         }
         if let Some(pending) = self.pending.take() {
-            log::info!("link {}: no configuration received within {FETCH_TIMEOUT:?}", pending.link);
+            let sent_at = self.sent.iter().find(|sent| sent.request_id == pending.request_id);
+            let waited = sent_at.map_or(Duration::ZERO, |sent| now.saturating_sub(sent.sent_at));
+            log::info!("link {}: no configuration received within {} ms", pending.link, waited.as_millis());
         }
-        let others = sources.iter().filter(|source| Some(source.link) != self.last_link);
-        let newest = others.max_by_key(|source| source.sequence).or(sources.first());
-        let ConfigurationSource { link, sequence } = *newest?;
-        self.pending = Some(PendingRequest { link, deadline: now + FETCH_TIMEOUT });
-        self.last_link = Some(link);
+        let ConfigurationSource { link, sequence } = self.next_source(sources)?;
+        self.asked.push(link);
         self.last_request_id += 1;
         let request_id = self.last_request_id;
+        self.pending = Some(PendingRequest { request_id, link, deadline: now + FETCH_TIMEOUT });
         self.sent.push_back(SentRequest { request_id, link, sent_at: now });
         if self.sent.len() > MAX_REMEMBERED_REQUESTS {
             self.sent.pop_front();
@@ -87,22 +89,37 @@
         Some(FetchRequest { link, sequence, request_id })
     }
 
+    /// The newest source that was not asked yet. Once all were, a new turn begins, with another one than the
+    /// last if there is one.
+    fn next_source(&mut self, sources: &[ConfigurationSource]) -> Option<ConfigurationSource> {
+        let is_asked = |asked: &[LinkId], source: &ConfigurationSource| asked.contains(&source.link);
+        if sources.iter().all(|source| is_asked(&self.asked, source)) {
+            self.asked.drain(..self.asked.len().saturating_sub(1));
+        }
+        let others = sources.iter().filter(|source| !is_asked(&self.asked, source));
+        others.max_by_key(|source| source.sequence).or(sources.first()).copied()
+    }
+
     /// Records a coordinator's confirmation that the configuration which it sends next was the newest one
     /// after this request.
     pub fn confirm_newest(&mut self, link: LinkId, request_id: u64) {
         let is_requested = |sent: &&SentRequest| sent.request_id == request_id && sent.link == link;
-        self.confirmed = self.sent.iter().find(is_requested).copied().or(self.confirmed);
+        let Some(request) = self.sent.iter().find(is_requested).copied() else { return };
+        self.confirmed.insert(link, request);
+        if let Some(pending) = self.pending.as_mut().filter(|pending| pending.request_id == request_id) {
+            pending.deadline = request.sent_at + FRESHNESS_LIMIT;
+        }
     }
 
     /// Whether to accept a configuration of this size that has arrived on a link: only if it was requested on
     /// that link recently, and confirmed to be the newest.
     pub fn accept(&mut self, now: Duration, link: LinkId, bytes: usize) -> bool {
-        let Some(request) = self.confirmed.take_if(|request| request.link == link) else { return false };
+        let Some(request) = self.confirmed.remove(&link) else { return false };
         let limit = FRESHNESS_LIMIT + TRANSFER_TIME_PER_MEBIBYTE.mul_f64(bytes as f64 / MEBIBYTE);
         let is_fresh = now < request.sent_at + limit;
-        if is_fresh && self.pending.is_some_and(|pending| pending.link == link) {
+        if is_fresh {
             self.pending = None;
-            self.last_link = None;
+            self.asked.clear();
         }
         is_fresh
     }
@@ -112,7 +129,8 @@
         if self.pending.is_some_and(|pending| pending.link == link) {
             self.pending = None;
         }
-        self.confirmed.take_if(|request| request.link == link);
+        self.confirmed.remove(&link);
+        self.asked.retain(|asked| *asked != link);
     }
 
     /// When the pending request times out; `None` if there is none.
--- a/crates/agent/tests/agent_state.rs
+++ b/crates/agent/tests/agent_state.rs
@@ -434,3 +434,66 @@
     assert_eq!(agent.configuration_lag(at(2500)), Duration::ZERO);
     assert_eq!(agent.status().announced, ConfigurationSequence(3));
 }
+
+/// Whether these effects apply this configuration at the proxy.
+fn configures(effects: &[Effect], sequence: u64) -> bool {
+    let is_wanted = |effect: &Effect| {
+        matches!(effect, Effect::ConfigureProxy(configuration)
+            if configuration.sequence == ConfigurationSequence(sequence))
+    };
+    effects.iter().any(is_wanted)
+}
+
+fn confirmed(request_id: u64, sequence: u64) -> ToAgent {
+    ToAgent::NewestConfiguration { request_id, sequence: ConfigurationSequence(sequence) }
+}
+
+/// Two links took turns, and each threw away the document that the other had asked for.
+#[test]
+fn a_document_that_takes_longer_than_a_request_waits_is_applied() {
+    let mut agent = agent();
+    agent.handle_proxy_up(at(0), ConfigurationSequence::NONE);
+    assert_eq!(agent.handle_coordinator_message(at(0), A, available(2)), fetch(1, A, 2));
+    agent.handle_coordinator_message(at(0), B, available(2));
+    assert_eq!(agent.poll(at(500)).into_iter().take(1).collect::<Vec<_>>(), fetch(2, B, 2));
+    // The confirmations arrive before the documents, which share the bandwidth of the frontend.
+    agent.handle_coordinator_message(at(600), A, confirmed(1, 2));
+    agent.handle_coordinator_message(at(610), B, confirmed(2, 2));
+    let applied = agent.handle_coordinator_message(at(1200), A, configuration(2));
+    assert!(configures(&applied, 2), "{applied:?}");
+}
+
+#[test]
+fn no_other_coordinator_is_asked_while_a_confirmed_document_is_on_its_way() {
+    let mut agent = agent();
+    agent.handle_coordinator_message(at(0), A, available(2));
+    agent.handle_coordinator_message(at(0), B, available(2));
+    agent.handle_coordinator_message(at(100), A, confirmed(1, 2));
+    let is_fetch = |effect: &Effect| {
+        matches!(effect, Effect::SendToCoordinator(_, FromAgent::FetchConfiguration { .. }))
+    };
+    assert!(!agent.poll(at(2900)).iter().any(is_fetch), "the document may still be on its way");
+    assert!(agent.poll(at(3000)).iter().any(is_fetch), "the coordinator may have stalled");
+}
+
+/// Of three coordinators only the two whose links had come up last were asked.
+#[test]
+fn every_coordinator_with_a_newer_configuration_is_asked_in_turn() {
+    let (mut agent, third) = (agent(), LinkId(3));
+    agent.handle_link_up(at(0), third, address(3));
+    let mut asked = Vec::new();
+    for id in [A, B, third] {
+        asked.extend(agent.handle_coordinator_message(at(0), id, available(2)));
+    }
+    for time in [500, 1000, 1500, 2000] {
+        asked.extend(agent.poll(at(time)));
+    }
+    let links: Vec<LinkId> = asked
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::SendToCoordinator(id, FromAgent::FetchConfiguration { .. }) => Some(id),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(links, [A, third, B, third, A], "no coordinator is left out, and none asked twice in a row");
+}
