A document may take longer to arrive than a coordinator may be silent

The time is counted from the last byte now (FrameReader::next_within); a coordinator that is partitioned or stalled sends none. The test writes a message in three parts, 1.5 s apart, with a paused clock: before, a time-out after 2 s; now the message arrives, and silence of 2 s still ends the link.

--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -2,7 +2,7 @@
 
 use crate::event::Event;
 use crate::ids::LinkId;
-use control_link::{AddressTranslation, CloseCause, LinkError, LinkStep};
+use control_link::{AddressTranslation, CloseCause, LinkError};
 use control_protocol::{ConfigurationSequence, FromAgent, ToAgent, VERSION};
 use std::collections::HashMap;
 use std::fmt;
@@ -12,13 +12,13 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// The pause before the first attempt to reconnect to a coordinator; doubled after each failed attempt.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(20);
 /// The longest pause between two attempts.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
-/// The time without a message after which a coordinator counts as partitioned or stalled, and the link is
+/// The time without a byte after which a coordinator counts as partitioned or stalled, and the link is
 /// reopened.
 pub const COORDINATOR_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -171,13 +171,12 @@
         let mut is_up = false;
         let error = loop {
             let received = tokio::select! {
-                received = timeout(COORDINATOR_TIMEOUT, incoming.next::<ToAgent>()) => received,
+                received = incoming.next_within::<ToAgent>(COORDINATOR_TIMEOUT) => received,
                 () = stopped.wait() => break None,
             };
             let message = match received {
-                Ok(Ok(message)) => message,
-                Ok(Err(error)) => break Some(error),
-                Err(_) => break Some(LinkError::TimedOut(LinkStep::Read, incoming.peer())),
+                Ok(message) => message,
+                Err(error) => break Some(error),
             };
             // Sending an event fails only when the agent ends, and this task with it.
             if !std::mem::replace(&mut is_up, true) {
--- a/crates/control-link/src/frame_reader.rs
+++ b/crates/control-link/src/frame_reader.rs
@@ -5,8 +5,10 @@
 use bytes::BytesMut;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::time::timeout;
 
 /// The free space that the buffer has at least before each read, in bytes.
 const READ_BYTES: usize = 8 << 10;
@@ -39,17 +41,41 @@
     /// not a message of this type, and [`LinkError::Io`].
     pub async fn next<M: DeserializeOwned>(&mut self) -> Result<M, LinkError> {
         loop {
-            let decoded = control_protocol::decode(&mut self.buffer);
-            if let Some(message) =
-                decoded.map_err(|error| LinkError::Frame(LinkStep::Read, self.peer, error))?
-            {
-                self.shrink_buffer();
+            if let Some(message) = self.decode()? {
                 return Ok(message);
             }
             self.fill().await?;
         }
     }
 
+    /// Returns the next message, as [`FrameReader::next`] does, as long as some bytes arrive within each
+    /// `silence`. A large message may take longer than that.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError::TimedOut`] if nothing arrives for `silence`; otherwise as [`FrameReader::next`].
+    pub async fn next_within<M: DeserializeOwned>(&mut self, silence: Duration) -> Result<M, LinkError> {
+        loop {
+            if let Some(message) = self.decode()? {
+                return Ok(message);
+            }
+            match timeout(silence, self.fill()).await {
+                Ok(filled) => filled?,
+                Err(_) => return Err(LinkError::TimedOut(LinkStep::Read, self.peer)),
+            }
+        }
+    }
+
+    /// The next message of the bytes received so far; `None` while it is incomplete.
+    fn decode<M: DeserializeOwned>(&mut self) -> Result<Option<M>, LinkError> {
+        let decoded = control_protocol::decode(&mut self.buffer);
+        let message = decoded.map_err(|error| LinkError::Frame(LinkStep::Read, self.peer, error))?;
+        if message.is_some() {
+            self.shrink_buffer();
+        }
+        Ok(message)
+    }
+
     async fn fill(&mut self) -> Result<(), LinkError> {
         self.buffer.reserve(READ_BYTES);
         let count = tokio::select! {
--- a/crates/control-link/tests/link.rs
+++ b/crates/control-link/tests/link.rs
@@ -3,6 +3,8 @@
 
 use control_link::{AddressTranslation, CloseCause, LinkError};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// Both ends of a connection, and the address of the end that opened it.
@@ -97,3 +99,32 @@
     assert_eq!(translation.resolve(address(1)), address(2));
     assert_eq!(translation.resolve(address(2)), address(2));
 }
+
+/// How long a peer may be silent in a test with a paused clock.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Lets the reader take what has arrived, and then the time pass.
+async fn advance(time: Duration) {
+    for _ in 0..500 {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::advance(time).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_message_may_take_longer_than_a_peer_may_be_silent() {
+    let (opened, mut accepted, peer) = pair().await;
+    let reading = tokio::spawn(async move {
+        let (mut here, _to_there) = control_link::split(opened, peer);
+        (here.next_within::<String>(SILENCE).await, here.next_within::<String>(SILENCE).await)
+    });
+    let text = "x".repeat(3000);
+    let frame = control_protocol::encode(&text).expect("a frame");
+    for part in frame.chunks(1100) {
+        accepted.write_all(part).await.expect("a write");
+        advance(SILENCE * 3 / 4).await;
+    }
+    let (message, silence) = reading.await.expect("the reader");
+    assert_eq!(message.expect("a message"), text);
+    assert!(matches!(silence, Err(LinkError::TimedOut(..))), "{silence:?}");
+}
