A document larger than the send queue may follow other messages

A coordinator queues the confirmation and the document at once, so that a document over 4 MiB (the operator's API takes 8) closed the link each time; the same from agent to data plane, and between coordinators. Such a change was acknowledged where it needed no other coordinator's link, and never in force.

The limit is checked before a frame is added: one frame may exceed it. The queue holds at most 4 MiB and one frame.

--- a/crates/control-link/src/frame_writer.rs
+++ b/crates/control-link/src/frame_writer.rs
@@ -14,7 +14,8 @@
 
 /// The most frames that are queued for one peer.
 pub const MAX_QUEUED_FRAMES: usize = 256;
-/// The most bytes that are queued for one peer, except that a single frame may be larger.
+/// Once this many bytes are queued for one peer, no other frame is. The last one may exceed it, as a frame may
+/// be larger than this and others queued before it.
 pub const MAX_QUEUED_BYTES: usize = 4 << 20;
 /// Small frames are joined into one write up to this length, in bytes.
 const MAX_JOINED_BYTES: usize = 16 << 10;
@@ -173,8 +174,7 @@
 impl Queue {
     /// Adds a frame. Returns false if the queue is full.
     fn push(&mut self, frame: Bytes) -> bool {
-        let full = self.frames.len() >= MAX_QUEUED_FRAMES || self.bytes + frame.len() > MAX_QUEUED_BYTES;
-        if full && !self.frames.is_empty() {
+        if self.frames.len() >= MAX_QUEUED_FRAMES || self.bytes >= MAX_QUEUED_BYTES {
             return false;
         }
         self.bytes += frame.len();
--- a/crates/control-link/tests/link.rs
+++ b/crates/control-link/tests/link.rs
@@ -1,7 +1,7 @@
 //! Links over loopback: frames arrive complete and in order, and the connection to a peer that doesn't read
 //! is closed.
 
-use control_link::{AddressTranslation, CloseCause, LinkError};
+use control_link::{AddressTranslation, CloseCause, LinkError, MAX_QUEUED_BYTES};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -128,3 +128,22 @@
     assert_eq!(message.expect("a message"), text);
     assert!(matches!(silence, Err(LinkError::TimedOut(..))), "{silence:?}");
 }
+
+/// A large document follows a short message at once: the link was closed each time.
+#[tokio::test]
+async fn a_frame_larger_than_the_queue_may_follow_others() {
+    let large = "x".repeat(MAX_QUEUED_BYTES + 1);
+    let (opened, _accepted, peer) = pair().await;
+    let (_here, to_there) = control_link::split(opened, peer);
+    to_there.send(&large).expect("queued");
+    let refused = to_there.send(&2_u64);
+    assert!(matches!(refused, Err(LinkError::QueueFull(_))), "{refused:?}");
+
+    let (opened, accepted, peer) = pair().await;
+    let (_here, to_there) = control_link::split(opened, peer);
+    let (mut there, _to_here) = control_link::split(accepted, peer);
+    to_there.send(&1_u64).expect("queued");
+    to_there.send(&large).expect("queued");
+    assert_eq!(there.next::<u64>().await.expect("the first message"), 1);
+    assert_eq!(there.next::<String>().await.expect("the large message"), large);
+}
