Configurations are checked as they are applied: from their bytes

Cause: the check parsed the document to a value, which keeps the last of two members, and built the configuration from that. Data planes and coordinators build theirs from the bytes and reject a repeated member. The check builds it from the bytes as well now and answers 400 with the member and its place; of other errors at this point only the place is told, as a text may hold an API key.

--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -38,9 +38,12 @@
     if !errors.is_empty() {
         return Err(errors);
     }
-    let parsed = serde_json::from_value(document);
+    let parsed: Result<Configuration, _> = serde_json::from_value(document);
+    parsed.map_err(|error| vec![ConfigurationError::invalid("/", error.to_string())])?;
+    // Data planes and coordinators parse the bytes when they apply the document, and reject more than the
+    // value shows: of a repeated member, it holds the last one only.
     let configuration: Configuration =
-        parsed.map_err(|error| vec![ConfigurationError::invalid("/", error.to_string())])?;
+        serde_json::from_slice(bytes).map_err(|error| vec![unreadable_error(&error)])?;
     let mut errors = rules::violations(&configuration);
     if errors.is_empty() {
         return Ok(configuration);
@@ -56,6 +59,17 @@
     ConfigurationError::Syntax(error)
 }
 
+/// The error of a document that can't be applied although its last members are valid. Other texts than that of
+/// a repeated member may contain a value of the document.
+fn unreadable_error(error: &serde_json::Error) -> ConfigurationError {
+    let text = error.to_string();
+    if text.starts_with("duplicate field") {
+        return ConfigurationError::invalid("/", text);
+    }
+    let (line, column) = (error.line(), error.column());
+    ConfigurationError::invalid("/", format!("can't be read at line {line} column {column}"))
+}
+
 fn schema_error(error: &ValidationError) -> ConfigurationError {
     let location = error.instance_path().as_str();
     let location = if location.is_empty() { "/" } else { location };
--- a/crates/configuration/tests/check.rs
+++ b/crates/configuration/tests/check.rs
@@ -1,7 +1,7 @@
 //! Validation of documents: valid ones are accepted, errors are reported with their locations, and large
 //! documents are checked quickly.
 
-use configuration::{ConfigurationError, MAX_ERRORS, RouteType, Unit, check, compile_schema};
+use configuration::{Configuration, ConfigurationError, MAX_ERRORS, RouteType, Unit, check, compile_schema};
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
@@ -190,3 +190,21 @@
     println!("1000 routes, {} bytes: {fastest:?}", bytes.len());
     assert!(fastest < MAX_CHECK_TIME, "{fastest:?}");
 }
+
+/// A document with a repeated member was acknowledged, and no data plane could read it.
+#[test]
+fn what_is_accepted_can_be_applied() {
+    let text = document().to_string();
+    let repeated = text.replace(r#""max_attempts":1"#, r#""max_attempts":1,"max_attempts":1"#);
+    assert_ne!(repeated, text);
+    assert!(serde_json::from_str::<Configuration>(&repeated).is_err(), "no data plane reads it");
+    let errors = check(repeated.as_bytes()).expect_err("an error");
+    assert_eq!(errors.len(), 1);
+    assert!(errors[0].to_string().contains("duplicate field `max_attempts`"), "{}", errors[0]);
+    let hidden = text.replace(r#""api_keys":["k-3"]"#, r#""api_keys":"secret","api_keys":["k-3"]"#);
+    assert_ne!(hidden, text);
+    let errors = check(hidden.as_bytes()).expect_err("an error");
+    assert!(!errors[0].to_string().contains("secret"), "{}", errors[0]);
+    let accepted = check(text.as_bytes()).expect("valid");
+    assert_eq!(serde_json::from_str::<Configuration>(&text).expect("applicable"), accepted);
+}
