Settings: address_translation is checked, and in the approved lists

An address with port 0 or 0.0.0.0 in address_translation is refused with its place, as in seed_nodes.

--- a/crates/marlwinch/tests/golden_cli_checks.rs
+++ b/crates/marlwinch/tests/golden_cli_checks.rs
@@ -57,6 +57,7 @@
         listen: node_settings::Listen { frontend: _, readiness: _, control: _ },
         internal_port_range: _,
         seed_nodes: _,
+        address_translation: _,
         bootstrap: _,
         counts_for_quorum: _,
         limits:
@@ -112,7 +113,8 @@
 
 /// The keys of a settings file.
 const KEYS: &str = r#"{"node_name": 0, "machine_class": 0, "ip": 0, "zone": 0, "region": 0, "zones": 0,
-    "listen": ["frontend", "readiness", "control"], "internal_port_range": 0, "seed_nodes": 0, "bootstrap": 0,
+    "listen": ["frontend", "readiness", "control"], "internal_port_range": 0, "seed_nodes": 0,
+    "address_translation": 0, "bootstrap": 0,
     "counts_for_quorum": 0, "limits": ["cpu_share", "cores", "memory_mb", "max_fds", "link_mbps", "disk_mb"],
     "data_dir": 0, "heartbeat_ms": 0, "fault_tolerance": ["machines", "zones", "regions"],
     "bounds": ["seed_lag_s", "reuse_after_s", "contact_ms", "ack_ms", "catch_up_s", "drain_ms", "grace_s",
--- a/crates/node-settings/src/validation.rs
+++ b/crates/node-settings/src/validation.rs
@@ -83,15 +83,21 @@
 
 fn validate_seeds(settings: &Settings) -> Result<(), InvalidSettings> {
     for (index, seed) in settings.seed_nodes.iter().enumerate() {
-        if seed.port() == 0 {
-            return invalid(format!("seed_nodes[{index}]"), "the port is 0");
-        }
-        if seed.ip().is_unspecified() {
-            return invalid(
-                format!("seed_nodes[{index}]"),
-                format!("{} is not the address of a machine", seed.ip()),
-            );
-        }
+        validate_peer(format!("seed_nodes[{index}]"), *seed)?;
+    }
+    for (announced, actual) in &settings.address_translation {
+        validate_peer(format!("address_translation.{announced}"), *actual)?;
+    }
+    Ok(())
+}
+
+/// Validates an address that connections are opened to.
+fn validate_peer(location: String, address: SocketAddrV4) -> Result<(), InvalidSettings> {
+    if address.port() == 0 {
+        return invalid(location, "the port is 0");
+    }
+    if address.ip().is_unspecified() {
+        return invalid(location, format!("{} is not the address of a machine", address.ip()));
     }
     Ok(())
 }
