--- a/crates/fleet-demo/src/lib.rs
+++ b/crates/fleet-demo/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod configuration;
 pub mod error;
 pub mod fleet;
-mod http;
+pub mod http;
 pub mod monitoring;
 pub mod node_settings;
 pub mod observations;
