--- a/crates/control-trials/src/checker/added_routes.rs
+++ b/crates/control-trials/src/checker/added_routes.rs
@@ -3,7 +3,7 @@
 use super::APPLY_BOUND;
 use super::violation::Violation;
 use crate::contact::Contact;
-use crate::document::{Generation, Handling, Probe};
+use crate::document::{Generation, Handling, TestRequest};
 use crate::history::{FrontendId, History, Observation};
 use std::collections::BTreeSet;
 
@@ -24,8 +24,11 @@
         .iter()
         .filter(|seen| seen.frontend == frontend && contact.is_in_touch(frontend, seen.sent_at))
         .collect();
-    let first: Vec<&Observation> =
-        calm.iter().copied().filter(|seen| matches!(seen.probe, Probe::Lasting | Probe::Moving)).collect();
+    let first: Vec<&Observation> = calm
+        .iter()
+        .copied()
+        .filter(|seen| matches!(seen.request, TestRequest::Lasting | TestRequest::Moving))
+        .collect();
     let added: Vec<&Observation> =
         calm.iter().copied().filter(|seen| is_on_added_route(history, seen)).collect();
     let served = |seen: &[&Observation]| {
@@ -38,7 +41,7 @@
 
 /// Whether a request is on an added route that all versions have which may be in force.
 fn is_on_added_route(history: &History, seen: &Observation) -> bool {
-    let Probe::Added(generation) = seen.probe else { return false };
+    let TestRequest::Added(generation) = seen.request else { return false };
     let is_in_force = |added: Generation| {
         let change = history.changes.iter().find(|change| change.version.generation == added);
         let acknowledged_at = change.and_then(|change| change.acknowledged_at());
--- a/crates/control-trials/src/checker/regression.rs
+++ b/crates/control-trials/src/checker/regression.rs
@@ -1,4 +1,4 @@
-//! Whether a machine goes back to an older version within one life of its processes.
+//! Whether a machine goes back to an older version within one incarnation of its processes.
 
 use super::ROLLBACK_SLACK;
 use super::violation::Violation;
@@ -19,11 +19,11 @@
     let mut found = Vec::new();
     for seen in history.observations.iter().filter(|seen| seen.handling != Handling::Unknown) {
         let Some((oldest, newest)) = matching_generations(history, seen) else { continue };
-        let before = shown.entry((seen.frontend, seen.life)).or_default();
+        let before = shown.entry((seen.frontend, seen.incarnation)).or_default();
         let binding = before.iter().filter(|shown| seen.sent_at > shown.at + ROLLBACK_SLACK);
         let floor = binding.map(|shown| shown.generation).max();
         if let Some(floor) = floor.filter(|floor| newest < *floor) {
-            found.push(Violation::WentBack(seen.frontend, seen.sent_at, seen.probe, seen.handling, floor));
+            found.push(Violation::WentBack(seen.frontend, seen.sent_at, seen.request, seen.handling, floor));
         }
         if before.last().is_none_or(|last| last.generation < oldest) {
             before.push(Shown { generation: oldest, at: seen.ended_at });
@@ -37,7 +37,7 @@
     let matching = history.changes.iter().filter(|change| {
         change.may_be_in_force()
             && change.sent_at <= seen.ended_at
-            && change.version.handling(seen.probe) == seen.handling
+            && change.version.handling(seen.request) == seen.handling
     });
     let generations: Vec<Generation> = matching.map(|change| change.version.generation).collect();
     Some((*generations.iter().min()?, *generations.iter().max()?))
--- a/crates/control-trials/src/history.rs
+++ b/crates/control-trials/src/history.rs
@@ -1,7 +1,7 @@
 //! The record of a trial: what the operator, the clients and the backends have seen, and what was done to the
 //! machines. Data only; times count from the start of the trial.
 
-use crate::document::{Generation, Handling, Probe, Version};
+use crate::document::{Generation, Handling, TestRequest, Version};
 use std::fmt;
 use std::time::Duration;
 
@@ -24,13 +24,13 @@
     /// The frontend that it was sent to.
     pub frontend: FrontendId,
     /// How often processes of the frontend had been started when it was sent.
-    pub life: u32,
+    pub incarnation: u32,
     /// When the client sent it.
     pub sent_at: Time,
     /// When the client had the answer, or gave up.
     pub ended_at: Time,
     /// What was asked for.
-    pub probe: Probe,
+    pub request: TestRequest,
     /// What became of it.
     pub handling: Handling,
 }
@@ -116,9 +116,9 @@
     pub is_final: bool,
 }
 
-/// A span in which a frontend saw trouble: of its processes, its connections or its links.
+/// A span in which a frontend saw fault: of its processes, its connections or its links.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FrontendTrouble {
+pub struct FrontendFault {
     /// The frontend.
     pub frontend: FrontendId,
     /// When it began.
@@ -130,7 +130,7 @@
 /// A span in which the core was disturbed: one of its machines was killed, stopped, started, removed, cut off,
 /// joined again or had its connections reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CoreTrouble {
+pub struct CoreFault {
     /// When it began.
     pub from: Time,
     /// When it ended; equal to `from` for a single moment.
@@ -150,10 +150,10 @@
     pub invalid_changes: Vec<InvalidChange>,
     /// The reads of the configuration.
     pub reads: Vec<Read>,
-    /// The troubles of frontends.
-    pub frontend_troubles: Vec<FrontendTrouble>,
-    /// The troubles of the core.
-    pub core_troubles: Vec<CoreTrouble>,
+    /// The faults of frontends.
+    pub frontend_faults: Vec<FrontendFault>,
+    /// The faults of the core.
+    pub core_faults: Vec<CoreFault>,
     /// When the final fault took most of the core; `None` without one.
     pub final_fault_at: Option<Time>,
     /// A line of text for each disruption, in order, with its time.
--- a/crates/control-trials/src/lib.rs
+++ b/crates/control-trials/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod checker;
 pub mod clients;
 pub mod contact;
+mod core_status;
 pub mod deploy_file;
 pub mod disruption;
 pub mod disruptor;
--- a/crates/control-trials/src/world.rs
+++ b/crates/control-trials/src/world.rs
@@ -1,7 +1,7 @@
 //! The state that all tasks of a trial share, on one thread.
 
 use crate::addresses::AddressBlock;
-use crate::history::{CoreTrouble, FrontendId, FrontendTrouble, History, Time};
+use crate::history::{CoreFault, FrontendFault, FrontendId, History, Time};
 use std::cell::{Cell, RefCell};
 use std::time::Instant;
 
@@ -33,15 +33,15 @@
         self.history.borrow_mut().events.push((now, text));
     }
 
-    /// Records a trouble of a frontend that lasts until now; with `from` equal to now, of a moment.
-    pub fn frontend_trouble(&self, frontend: FrontendId, from: Time) {
-        let trouble = FrontendTrouble { frontend, from, until: self.now() };
-        self.history.borrow_mut().frontend_troubles.push(trouble);
+    /// Records a fault of a frontend that lasts until now; with `from` equal to now, of a moment.
+    pub fn frontend_fault(&self, frontend: FrontendId, from: Time) {
+        let fault = FrontendFault { frontend, from, until: self.now() };
+        self.history.borrow_mut().frontend_faults.push(fault);
     }
 
-    /// Records a trouble of the core that lasts until now.
-    pub fn core_trouble(&self, from: Time, majority_remained: bool) {
-        let trouble = CoreTrouble { from, until: self.now(), majority_remained };
-        self.history.borrow_mut().core_troubles.push(trouble);
+    /// Records a fault of the core that lasts until now.
+    pub fn core_fault(&self, from: Time, majority_remained: bool) {
+        let fault = CoreFault { from, until: self.now(), majority_remained };
+        self.history.borrow_mut().core_faults.push(fault);
     }
 }
