--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -1,12 +1,13 @@
 #!/usr/bin/env python3
 """Draws days of trouble for the control side, for a bench that plays days from TOML files.
 
-    draw.py SEED [--seconds SECONDS] [--waves WAVES | --ending] > day.toml
+    draw.py SEED [--seconds SECONDS] [--waves WAVES | --ending | --replacements] > day.toml
 
 Two to four troubles of the control side overlap, beside one or two of the rest, and often a final fault. The same arguments draw the
 same day. SECONDS is how long traffic lasts (34). With WAVES (1 to 4) there are that many such groups, one after the other, their
 troubles of all variants that the bench tells of, and changes of the configuration in each. With --ending one such group lies in the
-last seconds, and the day ends with lost disks, so that these are lost in the middle of a repair.
+last seconds, and the day ends with lost disks, so that these are lost in the middle of a repair. With --replacements all machines
+of the core are replaced in series, once or twice, while some frontends are cut off or frozen (use 60 seconds or more).
 """
 
 import argparse
@@ -152,6 +153,23 @@
     return plan, faults
 
 
+def replacements(draw, length):
+    """Plan and faults of a day on which the core is replaced machine by machine while frontends hear nothing."""
+    start, gap = round(draw.uniform(2.0, 5.0), 2), round(draw.uniform(6.5, 9.0), 2)
+    count = draw.choice([3, 3, 4])
+    plan = [
+        dict(at=round(start + gap * number, 2), kind="replace_core", x=round(draw.uniform(0, 2), 1), how=draw.choice(["oldest", "oldest", "planned oldest"]))
+        for number in range(count)
+    ]
+    deaf = dict(at=round(max(0.3, start - draw.uniform(0.5, 2.0)), 2), share=round(draw.uniform(0.1, 0.4), 2), for_s=round(gap * count + draw.uniform(1.0, 5.0), 2))
+    faults = [draw.choice([dict(deaf, kind="node_cut", how="all"), dict(deaf, kind="node_cut"), dict(deaf, kind="node_freeze")])]
+    for _ in range(draw.randint(2, 5)):
+        plan.append(dict(at=round(draw.uniform(start, length - 4.0), 2), kind="config_change", how=draw.choice(["route", "weights", "idle"])))
+    if draw.random() < 0.5:
+        faults.append(dict(at=round(draw.uniform(0.5, length - 6.0), 2), **other_trouble(draw)))
+    return plan, faults
+
+
 def add_wave(draw, centre, faults, plan):
     """Adds overlapping troubles and changes around a moment."""
     for _ in range(draw.randint(2, 4)):
@@ -191,12 +209,15 @@
     variants = parser.add_mutually_exclusive_group()
     variants.add_argument("--waves", type=int, choices=range(1, 5), help="groups of overlapping troubles, of all variants")
     variants.add_argument("--ending", action="store_true", help="troubles in the last seconds, then lost disks")
+    variants.add_argument("--replacements", action="store_true", help="the core is replaced while frontends are cut off or frozen")
     arguments = parser.parse_args()
     draw = random.Random(arguments.seed)
     if arguments.waves:
         plan, faults = waves(draw, arguments.seconds, arguments.waves)
     elif arguments.ending:
         plan, faults = ending(draw, arguments.seconds)
+    elif arguments.replacements:
+        plan, faults = replacements(draw, arguments.seconds)
     else:
         plan, faults = group(draw, arguments.seconds)
     print(f'name = "drawn-{arguments.seed}"\nslot = "trouble"\nseed = {arguments.seed}\none = 0.9\nzero = 0.4\ngoal = {{ floor = 0.0 }}')
