Tests of the agent keep the port of a coordinator that starts later

The test had released a port to refuse connections at it; another socket had got it meanwhile (thousands were open).

--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -2,12 +2,15 @@
 
 mod agents;
 
-use agents::{Coordinator, Proxy, RunningAgent, agent, configuration, list, listener, view};
+use agents::{Coordinator, Proxy, RunningAgent, agent, configuration, list, listener, reserved, view};
 use control_protocol::{
     BackendListVersion, ConfigurationSequence, FromAgent, FromProxy, QuotaDemand, QuotaGrant, QuotaRequest,
     QuotaResponse, ToAgent, ToProxy,
 };
 
+/// The connections that wait to be accepted at most.
+const BACKLOG: u32 = 64;
+
 /// An agent with one coordinator, which has sent configuration 3 and list 5.
 async fn connected_agent() -> (RunningAgent, tokio::net::TcpListener, Coordinator) {
     let (listener, address) = listener();
@@ -22,12 +25,10 @@
 
 #[tokio::test]
 async fn an_agent_connects_to_a_coordinator_that_starts_later() {
-    // A free port, on which a coordinator listens only later.
-    let (reserved, address) = listener();
-    drop(reserved);
+    let (socket, address) = reserved();
     let agent = RunningAgent::start(vec![address]);
     let mut proxy = Proxy::connect(agent.address, 0).await;
-    let listener = control_link::listen(address).expect("listen");
+    let listener = socket.listen(BACKLOG).expect("listen");
     let mut coordinator = Coordinator::accept(&listener).await;
     assert_eq!(coordinator.configuration_sequence, 0);
     coordinator.send(ToAgent::ConfigurationAvailable { sequence: ConfigurationSequence(1) });
@@ -220,8 +221,7 @@
 #[tokio::test]
 async fn a_core_that_was_replaced_completely_is_found_through_the_seeds() {
     // Until it replaces the old core, nobody listens at the address of the new one.
-    let (reserved, new_address) = listener();
-    drop(reserved);
+    let (new, new_address) = reserved();
     let (old, old_address) = listener();
     let agent = RunningAgent::start(vec![old_address, new_address]);
     let mut former = Coordinator::accept(&old).await;
@@ -230,7 +230,7 @@
     former.respond_to_fetch(1).await;
     assert_eq!(Proxy::connect(agent.address, 0).await.receive_configuration().await, 1);
     drop((former, old));
-    let new = control_link::listen(new_address).expect("listen");
+    let new = new.listen(BACKLOG).expect("listen");
     for _ in 0..ACCEPTED_LINKS {
         if fetches_from_new_core(&new, new_address).await {
             return;
--- a/crates/agent/tests/agents/mod.rs
+++ b/crates/agent/tests/agents/mod.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -27,6 +27,14 @@
     (listener, loopback(port))
 }
 
+/// A socket that has an address on loopback, at which it refuses connections until it listens.
+pub fn reserved() -> (TcpSocket, SocketAddrV4) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(loopback(0).into()).expect("bind");
+    let port = socket.local_addr().expect("address").port();
+    (socket, loopback(port))
+}
+
 /// An agent that runs until it is dropped.
 pub struct RunningAgent {
     task: JoinHandle<()>,
