--- a/crates/marlwinch/src/command/checks.rs
+++ b/crates/marlwinch/src/command/checks.rs
@@ -4,31 +4,13 @@
 use super::exit::INVALID_FILE;
 use super::status_client::fetch_status;
 use super::status_table::format_status;
+use marlwinch_roles::read_policy;
 use node_settings::Settings;
-use policy::{Policy, PolicyError};
-use quick_error::quick_error;
 use std::io::Write;
 use std::net::SocketAddrV4;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 
-quick_error! {
-    /// Why a policy file is rejected.
-    #[derive(Debug)]
-    pub enum PolicyFileError {
-        /// The file can't be read. Holds its path and the system's error.
-        Read(path: PathBuf, error: std::io::Error) {
-            display("{}: {error}", path.display())
-            source(error)
-        }
-        /// The text is not a valid policy. Holds the path and the first error.
-        Invalid(path: PathBuf, error: PolicyError) {
-            display("{}: {error}", path.display())
-            source(error)
-        }
-    }
-}
-
 /// Checks a settings file. Writes the first error, or the name of the node if there is none.
 pub fn check_settings(path: &Path, out: &mut impl Write) -> ExitCode {
     match Settings::load(path) {
@@ -66,16 +48,6 @@
     }
 }
 
-/// Reads and validates a policy file.
-///
-/// # Errors
-///
-/// The file can't be read, or is not a valid policy.
-pub fn read_policy(path: &Path) -> Result<Policy, PolicyFileError> {
-    let text = std::fs::read_to_string(path).map_err(|error| PolicyFileError::Read(path.into(), error))?;
-    Policy::parse(&text).map_err(|error| PolicyFileError::Invalid(path.into(), error))
-}
-
 /// Checks a policy file. Writes the first error, or that the file is valid.
 pub fn check_policy(path: &Path, out: &mut impl Write) -> ExitCode {
     match read_policy(path) {
--- a/crates/marlwinch/tests/golden_cli.rs
+++ b/crates/marlwinch/tests/golden_cli.rs
@@ -9,6 +9,7 @@
 
 use golden_cli_support::{Run, TempFolder, approve, transcripts};
 use marlwinch::command::system;
+use marlwinch_roles::RoleCommand;
 use std::collections::BTreeSet;
 
 /// A command, and invalid arguments of it. The program exits at once on each of these.
@@ -324,9 +325,9 @@
     use system::Command;
     fn word(command: &Command) -> &'static str {
         match command {
-            Command::DataPlane(_) => "data-plane",
-            Command::Agent(_) => "agent",
-            Command::Coordinator(_) => "coordinator",
+            Command::Role(RoleCommand::DataPlane(_)) => "data-plane",
+            Command::Role(RoleCommand::Agent(_)) => "agent",
+            Command::Role(RoleCommand::Coordinator(_)) => "coordinator",
             Command::CheckSettings { .. } => "check-settings",
             Command::CheckConfiguration { .. } => "check-configuration",
             Command::CheckPolicy { .. } => "check-policy",
@@ -337,9 +338,9 @@
     let file = || std::path::PathBuf::from("a");
     let options = role_runtime::process::RoleOptions::default;
     let all = [
-        Command::DataPlane(options()),
-        Command::Agent(options()),
-        Command::Coordinator(options()),
+        Command::Role(RoleCommand::DataPlane(options())),
+        Command::Role(RoleCommand::Agent(options())),
+        Command::Role(RoleCommand::Coordinator(options())),
         Command::CheckSettings { file: file() },
         Command::CheckConfiguration { file: file() },
         Command::CheckPolicy { file: file() },
--- a/crates/marlwinch/tests/structure.rs
+++ b/crates/marlwinch/tests/structure.rs
@@ -9,6 +9,8 @@
 const PURE: [&str; 2] = ["control-protocol", "units"];
 /// The packages that run as a process of their own.
 const ROLES: [&str; 4] = ["coordinator", "agent", "data-plane", "standalone-proxy"];
+/// The package of the program that the deploy file starts.
+const DEPLOYED: &str = "marlwinch-roles";
 /// Packages for tests and experiments that a role may use: the recorder writes traces in the load generator's
 /// format.
 const USED_BY_ROLES: [(&str, &str); 1] = [("standalone-proxy", "load-generator")];
@@ -67,6 +69,31 @@
     }
 }
 
+/// A package with all that it depends on, directly or not.
+fn closure(package: &str) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    let mut queue = vec![package.to_string()];
+    while let Some(next) = queue.pop() {
+        queue.extend(dependencies(&next));
+        found.insert(next);
+    }
+    found
+}
+
+#[test]
+fn the_program_that_is_deployed_holds_the_roles_and_no_tool() {
+    let deployed = closure(DEPLOYED);
+    assert!(
+        ["coordinator", "agent", "data-plane"].iter().all(|role| deployed.contains(*role)),
+        "{deployed:?}"
+    );
+    let is_tool =
+        |name: &&String| layer("tests and experiments").contains(name) || name.ends_with("-simulation");
+    let tools: Vec<&String> = deployed.iter().filter(is_tool).collect();
+    assert!(tools.is_empty(), "{DEPLOYED} holds {tools:?}");
+    assert!(!deployed.contains("marlwinch") && !deployed.contains("standalone-proxy"), "{deployed:?}");
+}
+
 #[test]
 fn roles_depend_on_no_package_for_tests_and_experiments() {
     let ends_with_simulation = |name: &String| name.ends_with("-simulation");
