--- a/crates/control-trials/src/trial.rs
+++ b/crates/control-trials/src/trial.rs
@@ -30,8 +30,6 @@
 /// How long the trial goes on after the last disruption: until all machines are in touch again, and as long as
 /// a change may take to be in force.
 const CALM_END: Duration = Duration::from_secs(9);
-/// Where the system keeps files in memory.
-const MEMORY_FOLDER: &str = "/dev/shm";
 /// What differs between the random sources of the parts of a trial.
 const OPERATOR_STREAM: u64 = 0x0b;
 const CLIENT_STREAM: u64 = 0x0c00;
@@ -64,7 +62,8 @@
     pub frontends: usize,
     /// What happens.
     pub scenario: Scenario,
-    /// Where the settings, logs and data are kept; a temporary folder without one.
+    /// Where the settings, logs and data are kept; without one, in a temporary folder, whose place the
+    /// environment variable `TMPDIR` decides.
     pub keep: Option<PathBuf>,
 }
 
@@ -86,18 +85,12 @@
 pub fn run(options: &TrialOptions) -> Result<TrialOutcome, TrialError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| TrialError::Io("start a runtime", error))?;
-    let temporary = temporary_folder().map_err(|error| TrialError::Io("create a folder", error))?;
+    let temporary = tempfile::tempdir().map_err(|error| TrialError::Io("create a folder", error))?;
     let folder = options.keep.clone().unwrap_or_else(|| temporary.path().to_path_buf());
     std::fs::create_dir_all(&folder).map_err(|error| TrialError::Io("create a folder", error))?;
     LocalSet::new().block_on(&runtime, run_in(options, folder))
 }
 
-/// A temporary folder, in memory if possible: a busy disk of this computer would be a fault of the core's disks
-/// that the record doesn't have.
-fn temporary_folder() -> std::io::Result<tempfile::TempDir> {
-    tempfile::tempdir_in(MEMORY_FOLDER).or_else(|_| tempfile::tempdir())
-}
-
 async fn run_in(options: &TrialOptions, folder: PathBuf) -> Result<TrialOutcome, TrialError> {
     let frontends = options.frontends.clamp(1, MAX_FRONTENDS);
     let first_block = std::process::id().wrapping_mul(31).wrapping_add(options.seed as u32);
