--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -32,13 +32,11 @@
 
 use control_link::AddressTranslation;
 use node_settings::{Settings, SettingsWatcher};
-use role_runtime::metrics::MetricsEndpoint;
-use role_runtime::process;
-use role_runtime::process::RoleOptions;
+use role_runtime::process::{self, RoleError, RoleOptions, RoleStart};
+use role_runtime::signals::SignalRequest;
 use std::net::SocketAddrV4;
 use std::process::ExitCode;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, MissedTickBehavior, sleep_until};
 
 /// The interval at which the settings file is checked for changes.
@@ -52,30 +50,28 @@
 
 /// Runs an agent until SIGTERM, and after that until its proxy has disconnected or the grace period is about
 /// to end. The exit code is a failure if the agent could not start.
-pub fn run(settings: Settings, options: RoleOptions) -> ExitCode {
-    process::run("agent", serve(settings, options.metrics))
+pub fn run(options: RoleOptions) -> ExitCode {
+    process::run("agent", options, serve)
 }
 
-async fn serve(
-    settings: Settings,
-    metrics: Option<MetricsEndpoint>,
-) -> Result<(), Box<dyn std::error::Error>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+async fn serve(start: RoleStart) -> Result<(), RoleError> {
+    let RoleStart { settings, options, mut signals } = start;
     let mut watcher =
         std::env::var_os(node_settings::PATH_VARIABLE).map(|path| SettingsWatcher::new(path.into()));
     let listener = control_link::listen(settings.agent_address())?;
     let translation = AddressTranslation::new(settings.address_translation.clone());
     let mut agent = Agent::start(identity(&settings), seeds(&settings), translation, listener);
-    role_runtime::metrics::start(settings.ip, metrics.as_ref(), agent.metrics());
+    role_runtime::metrics::start(settings.ip, options.metrics.as_ref(), agent.metrics());
     log::info!("agent of {}: listening for its proxy at {}", settings.node_name, settings.agent_address());
     let mut watch = tokio::time::interval(SETTINGS_POLL_INTERVAL);
     watch.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let changed = tokio::select! {
             () = agent.step() => continue,
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => watcher.as_mut().map(SettingsWatcher::reload),
+            request = signals.next() => match request {
+                SignalRequest::ShutDown => break,
+                SignalRequest::Reload => watcher.as_mut().map(SettingsWatcher::reload),
+            },
             _ = watch.tick() => watcher.as_mut().and_then(SettingsWatcher::poll),
         };
         match changed {
--- a/crates/coordinator/src/process.rs
+++ b/crates/coordinator/src/process.rs
@@ -6,14 +6,13 @@
 use crate::settings_file::{self, SettingsFile};
 use crate::startup::{RunningCoordinator, StartError};
 use crate::storage::ReplicaLog;
-use node_settings::Settings;
 use replication::Record;
-use role_runtime::process::RoleOptions;
+use role_runtime::process::{RoleError, RoleOptions, RoleStart};
+use role_runtime::signals::{SignalRequest, Signals};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::MissedTickBehavior;
 
 /// The pause between attempts to open the log while the disk fails.
@@ -21,9 +20,9 @@
 
 /// Runs a coordinator until SIGTERM. Exits with a failure if it can't start, for example because a setting is
 /// missing or an address can't be listened at.
-pub fn run(settings: Settings, options: RoleOptions) -> ExitCode {
+pub fn run(options: RoleOptions) -> ExitCode {
     abort_on_panic();
-    role_runtime::process::run("coordinator", serve(settings, options))
+    role_runtime::process::run("coordinator", options, serve)
 }
 
 /// Makes every panic abort the process. A failed assertion means diverged histories or an inconsistent state,
@@ -33,18 +32,16 @@
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |failure| {
         report(failure);
-        log::error!("{failure}");
         std::process::abort();
     }));
 }
 
-async fn serve(settings: Settings, options: RoleOptions) -> Result<(), Box<dyn std::error::Error>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+async fn serve(start: RoleStart) -> Result<(), RoleError> {
+    let RoleStart { settings, options, mut signals } = start;
     let data_dir = settings.data_dir.clone().ok_or(StartError::Missing("data_dir"))?;
     let (log, records) = tokio::select! {
         opened = open_log(data_dir) => opened,
-        _ = terminate.recv() => return Ok(()),
+        () = signals.shut_down() => return Ok(()),
     };
     log::info!("coordinator of {} starts with {} records on disk", settings.node_name, records.len());
     configuration::compile_schema();
@@ -52,7 +49,7 @@
         RunningCoordinator::start_with_policy(&settings, &options.policy, log, records, random_seed())?;
     let metrics = Arc::new(CoordinatorMetrics::new(coordinator.node()));
     role_runtime::metrics::start(settings.ip, options.metrics.as_ref(), metrics);
-    follow_settings(&mut coordinator, &mut terminate, &mut hang_up).await;
+    follow_settings(&mut coordinator, &mut signals).await;
     // The tests of the command line compare this text with a golden file.
     log::info!("coordinator: shutdown requested");
     coordinator.shut_down().await;
@@ -60,14 +57,16 @@
 }
 
 /// Applies the settings file whenever it changes or SIGHUP arrives, until SIGTERM.
-async fn follow_settings(coordinator: &mut RunningCoordinator, terminate: &mut Signal, hang_up: &mut Signal) {
+async fn follow_settings(coordinator: &mut RunningCoordinator, signals: &mut Signals) {
     let mut file = std::env::var_os(node_settings::PATH_VARIABLE).map(|path| SettingsFile::new(path.into()));
     let mut polls = tokio::time::interval(settings_file::POLL_INTERVAL);
     polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let settings = tokio::select! {
-            _ = terminate.recv() => return,
-            _ = hang_up.recv() => file.as_mut().and_then(SettingsFile::read),
+            request = signals.next() => match request {
+                SignalRequest::ShutDown => return,
+                SignalRequest::Reload => file.as_mut().and_then(SettingsFile::read),
+            },
             _ = polls.tick() => file.as_mut().and_then(SettingsFile::poll),
         };
         if let Some(settings) = settings {
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -33,7 +33,7 @@
 use http_transport::listeners::BACKLOG;
 use node_settings::Settings;
 use policy::Policy;
-use role_runtime::process::RoleOptions;
+use role_runtime::process::{self, RoleError, RoleOptions, RoleStart};
 use state::DataPlaneState;
 use std::io;
 use std::net::SocketAddrV4;
@@ -59,35 +59,26 @@
     pub readiness: TcpListener,
 }
 
-/// Runs the data plane until the process receives a termination signal and has shut down. Fails if a socket
-/// can't be bound or a signal handler can't be installed.
-pub fn run(settings: Settings, options: RoleOptions) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run_until_signalled(settings, options)),
-        Err(error) => Err(error),
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("data plane: {error}");
-            ExitCode::FAILURE
-        }
-    }
+/// Runs the data plane until the process receives a termination signal and has shut down. Fails if the settings
+/// are invalid, a socket can't be bound or a signal handler can't be installed.
+pub fn run(options: RoleOptions) -> ExitCode {
+    process::run("data plane", options, async |start| {
+        LocalSet::new().run_until(run_until_signalled(start)).await
+    })
 }
 
-async fn run_until_signalled(settings: Settings, options: RoleOptions) -> io::Result<()> {
+async fn run_until_signalled(start: RoleStart) -> Result<(), RoleError> {
+    let RoleStart { settings, options, signals } = start;
     let sockets = Sockets {
         frontend: listen(settings.listen.frontend, "frontend")?,
         readiness: listen(settings.listen.readiness, "readiness")?,
     };
-    let shutdown = shutdown::signals()?;
     let (inbound, from_agent) = unbounded_channel();
     let (to_agent, outbound) = unbounded_channel();
     spawn_local(agent_link::run(settings.agent_address(), inbound, outbound));
     let state = Rc::new(DataPlaneState::new(&settings, options.policy, to_agent));
     role_runtime::metrics::start(settings.ip, options.metrics.as_ref(), state.metrics.clone());
-    serve_state(state, sockets, from_agent, shutdown).await;
+    serve_state(state, sockets, from_agent, shutdown::requested(signals)).await;
     Ok(())
 }
 
--- a/crates/marlwinch-roles/src/command.rs
+++ b/crates/marlwinch-roles/src/command.rs
@@ -3,7 +3,6 @@
 use crate::logging;
 use crate::policy_file::read_policy;
 use bpaf::{Bpaf, Parser, long};
-use node_settings::Settings;
 use policy::Policy;
 use role_runtime::metrics::MetricsEndpoint;
 use role_runtime::process::RoleOptions;
@@ -29,20 +28,9 @@
     pub fn run(self) -> ExitCode {
         logging::start();
         match self {
-            RoleCommand::DataPlane(options) => run_role(data_plane::run, options),
-            RoleCommand::Agent(options) => run_role(agent::run, options),
-            RoleCommand::Coordinator(options) => run_role(coordinator::run, options),
-        }
-    }
-}
-
-/// Reads the settings and runs a role until it ends.
-fn run_role(role: fn(Settings, RoleOptions) -> ExitCode, options: RoleOptions) -> ExitCode {
-    match Settings::from_environment() {
-        Ok(settings) => role(settings, options),
-        Err(error) => {
-            log::error!("settings: {error}");
-            ExitCode::FAILURE
+            RoleCommand::DataPlane(options) => data_plane::run(options),
+            RoleCommand::Agent(options) => agent::run(options),
+            RoleCommand::Coordinator(options) => coordinator::run(options),
         }
     }
 }
--- a/crates/role-runtime/src/lib.rs
+++ b/crates/role-runtime/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod metrics;
 pub mod process;
+pub mod signals;
