--- a/crates/marlwinch-roles/tests/processes.rs
+++ b/crates/marlwinch-roles/tests/processes.rs
@@ -101,6 +101,26 @@
     assert!(fleet.request().ends_with("\r\n\r\nran"));
 }
 
+/// They ended a role by a panic, at its start or at SIGTERM.
+#[test]
+fn settings_with_values_that_no_clock_or_memory_can_hold_are_rejected() {
+    let fleet = Fleet::new();
+    for role in ROLES {
+        let cases =
+            [("bounds", "grace_s", 1e300), ("limits", "memory_mb", 1e16), ("limits", "max_fds", 1e18)];
+        for (group, name, value) in cases {
+            let mut settings = fleet.settings(role);
+            let value = if group == "bounds" { value.into() } else { (value as u64).into() };
+            settings[group][name] = value;
+            std::fs::write(fleet.settings_file(role), settings.to_string()).expect("written");
+            let (status, log) = fleet.start(role).wait_for_end();
+            assert_eq!(status.code(), Some(1), "{role}: {log:#?}");
+            let place = format!("{group}.{name}: ");
+            assert!(log.len() == 1 && log[0].contains(&place), "{role}: {log:#?}");
+        }
+    }
+}
+
 /// Opens connections to an address until the role can't accept more, and asks for something on each.
 fn exhaust(address: std::net::SocketAddrV4) -> Vec<TcpStream> {
     let mut open = Vec::new();
--- a/crates/node-settings/src/settings.rs
+++ b/crates/node-settings/src/settings.rs
@@ -88,9 +88,9 @@
     pub cpu_share: f64,
     /// The number of cores; 1 if not set.
     pub cores: u32,
-    /// The memory, in MB; 256 if not set.
+    /// The memory, in MB, from 1 to 2^30; 256 if not set.
     pub memory_mb: u64,
-    /// The number of file descriptors; 1024 if not set.
+    /// The number of file descriptors, from 1 to 2^31; 1024 if not set.
     pub max_fds: u64,
     /// The bandwidth of the machine's network interface, in Mbit/s.
     pub link_mbps: f64,
@@ -110,7 +110,7 @@
     pub regions: u32,
 }
 
-/// The bounds of the operators' rules. Each is a finite number of at least 0. Fields are named as in the
+/// The bounds of the operators' rules. Each is a number from 0 to 1,000,000,000. Fields are named as in the
 /// file: those in `_ms` are in milliseconds, those in `_s` in seconds; all others are ratios, or numbers of
 /// requests or tokens.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
--- a/crates/node-settings/src/validation.rs
+++ b/crates/node-settings/src/validation.rs
@@ -8,6 +8,12 @@
 const INTERNAL_PORTS: u16 = 2;
 /// The number of these that are used on a coordinator's machine.
 const COORDINATOR_PORTS: u16 = 1;
+/// The largest value of a bound, in its unit: the roles compute times with some of them.
+const MAX_BOUND: f64 = 1e9;
+/// The largest memory of a machine, in MB: a PiB.
+const MAX_MEMORY_MB: u64 = 1 << 30;
+/// The largest number of file descriptors of a process.
+const MAX_DESCRIPTORS: u64 = 1 << 31;
 
 fn invalid(location: impl Into<String>, reason: impl Into<String>) -> Result<(), InvalidSettings> {
     Err(InvalidSettings { location: location.into(), reason: reason.into() })
@@ -106,12 +112,18 @@
     let limits = &settings.limits;
     validate_positive("limits.cpu_share", limits.cpu_share)?;
     validate_non_negative("limits.link_mbps", limits.link_mbps)?;
-    for (name, value) in
-        [("cores", u64::from(limits.cores)), ("memory_mb", limits.memory_mb), ("max_fds", limits.max_fds)]
-    {
+    let counts = [
+        ("cores", u64::from(limits.cores), u64::MAX),
+        ("memory_mb", limits.memory_mb, MAX_MEMORY_MB),
+        ("max_fds", limits.max_fds, MAX_DESCRIPTORS),
+    ];
+    for (name, value, max) in counts {
         if value == 0 {
             return invalid(format!("limits.{name}"), "is 0");
         }
+        if value > max {
+            return invalid(format!("limits.{name}"), format!("{value} is above {max}"));
+        }
     }
     Ok(())
 }
@@ -155,7 +167,11 @@
         ("again_s", bounds.again_s),
     ];
     for (name, value) in values {
-        validate_non_negative(&format!("bounds.{name}"), value)?;
+        let location = format!("bounds.{name}");
+        validate_non_negative(&location, value)?;
+        if value > MAX_BOUND {
+            return invalid(location, format!("{value} is above {MAX_BOUND}"));
+        }
     }
     Ok(())
 }
