--- a/crates/control-trials/src/addresses.rs
+++ b/crates/control-trials/src/addresses.rs
@@ -1,8 +1,8 @@
 //! The addresses of a trial: a block of 256 addresses of the loopback network, one for each machine.
 
 use crate::TrialError;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use fleet_demo::loopback_block::LoopbackBlock;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 // All ports are below the range that the system assigns to other sockets.
 /// The port at which a frontend accepts clients.
@@ -25,14 +25,11 @@
 pub const MAX_COORDINATORS: usize = 24;
 /// The largest number of frontends of a trial.
 pub const MAX_FRONTENDS: usize = 120;
-/// The number of blocks that are tried to find a free one.
-const MAX_BLOCKS: u32 = 64;
 
 /// A block of addresses.
 #[derive(Clone, Copy, Debug)]
 pub struct AddressBlock {
-    /// The second and the third octet of all addresses.
-    octets: [u8; 2],
+    block: LoopbackBlock,
 }
 
 impl AddressBlock {
@@ -42,51 +39,39 @@
     /// # Errors
     /// No block is free; with the error of the last one that was tried.
     pub fn find(first: u32) -> Result<Self, TrialError> {
-        let mut last_error = io::Error::other("no block of addresses");
-        for step in 0..MAX_BLOCKS {
-            let number = first.wrapping_add(step.wrapping_mul(7919));
-            // The second octet starts at 20, as other programs use 127.0.0.0/16.
-            let block = AddressBlock { octets: [20 + (number % 200) as u8, (number / 200 % 250) as u8] };
-            match block.check_free() {
-                Ok(()) => return Ok(block),
-                Err(error) => last_error = error,
-            }
-        }
-        Err(TrialError::Io("find free addresses on loopback", last_error))
+        let block = LoopbackBlock::find(first, |block| AddressBlock { block }.checked_addresses());
+        let block = block.map_err(|error| TrialError::Io("find free addresses on loopback", error))?;
+        Ok(AddressBlock { block })
     }
 
-    fn check_free(self) -> io::Result<()> {
-        let first = [
+    /// The addresses by which a block is found to be free.
+    fn checked_addresses(self) -> [SocketAddrV4; 5] {
+        [
             self.control(0),
             self.coordinator(0),
             self.client(0),
             self.readiness(0),
             SocketAddrV4::new(self.platform_ip(), CONTROL_PORT),
-        ];
-        first.into_iter().try_for_each(|address| TcpListener::bind(address).map(drop))
-    }
-
-    fn ip(self, last: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.octets[0], self.octets[1], last as u8)
+        ]
     }
 
     /// The address of a coordinator's machine, by its number from 0.
     pub fn coordinator_ip(self, number: usize) -> Ipv4Addr {
-        self.ip(FIRST_COORDINATOR + number)
+        self.block.ip(FIRST_COORDINATOR + number)
     }
 
     /// The address of a frontend's machine, by its number from 0.
     pub fn frontend_ip(self, number: usize) -> Ipv4Addr {
-        self.ip(FIRST_FRONTEND + number)
+        self.block.ip(FIRST_FRONTEND + number)
     }
 
     /// The address of a backend, with port 0: the system assigns the port.
     pub fn backend(self, number: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.ip(FIRST_BACKEND + number), 0)
+        SocketAddrV4::new(self.block.ip(FIRST_BACKEND + number), 0)
     }
 
     fn platform_ip(self) -> Ipv4Addr {
-        self.ip(PLATFORM)
+        self.block.ip(PLATFORM)
     }
 
     /// The address of the platform, with port 0: the system assigns the port.
--- a/crates/fleet-demo/src/lib.rs
+++ b/crates/fleet-demo/src/lib.rs
@@ -4,7 +4,7 @@
 //! of the deployment.
 //!
 //! - [`run`](run()): a run from its start to its verdict.
-//! - [`topology`], [`node_settings`], [`configuration`]: the addresses of the fleet, and the documents that
+//! - [`loopback_block`], [`topology`], [`node_settings`], [`configuration`]: the addresses of the fleet, and the documents that
 //!   describe it.
 //! - [`fleet`], [`processes`]: the processes, started, killed and restarted.
 //! - [`scenario`]: the faults and configuration changes of a run.
@@ -23,6 +23,7 @@
 pub mod error;
 pub mod fleet;
 pub mod http;
+pub mod loopback_block;
 pub mod monitoring;
 pub mod node_settings;
 pub mod observations;
--- a/crates/fleet-demo/src/topology.rs
+++ b/crates/fleet-demo/src/topology.rs
@@ -1,8 +1,8 @@
 //! The machines of the fleet: their names, zones and addresses on loopback.
 
 use crate::DemoError;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use crate::loopback_block::LoopbackBlock;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// The number of coordinators, which form the core.
 pub const COORDINATORS: usize = 3;
@@ -19,14 +19,11 @@
 const CONTROL_PORT: u16 = 8665;
 /// The first and the last port of the range for connections between machines.
 pub const INTERNAL_PORTS: [u16; 2] = [7680, 7695];
-/// The number of address blocks that are tried to find a free one.
-const MAX_BLOCKS: u32 = 64;
 
 /// The addresses of all machines, in a block of 256 addresses of the loopback network.
 #[derive(Clone, Copy, Debug)]
 pub struct Topology {
-    /// The second and the third octet of all addresses.
-    block: [u8; 2],
+    block: LoopbackBlock,
 }
 
 impl Topology {
@@ -36,56 +33,42 @@
     /// # Errors
     /// No block is free; with the error of the last block that was tried.
     pub fn find(first: u32) -> Result<Topology, DemoError> {
-        let blocks = (0..MAX_BLOCKS).map(|step| first.wrapping_add(step.wrapping_mul(7919)));
-        let mut last_error = io::Error::other("no block of addresses");
-        for number in blocks {
-            // The second octet starts at 20, as other programs use 127.0.0.0/16.
-            let topology = Topology { block: [20 + (number % 200) as u8, (number / 200 % 250) as u8] };
-            match topology.check_free() {
-                Ok(()) => return Ok(topology),
-                Err(error) => last_error = error,
-            }
-        }
-        Err(DemoError::Io("find free addresses on loopback", last_error))
+        let block = LoopbackBlock::find(first, |block| Topology { block }.listened_addresses());
+        let block = block.map_err(|error| DemoError::Io("find free addresses on loopback", error))?;
+        Ok(Topology { block })
     }
 
-    fn check_free(&self) -> io::Result<()> {
-        let coordinators = (0..COORDINATORS).flat_map(|number| {
+    /// The addresses at which the processes of the fleet listen.
+    fn listened_addresses(self) -> impl Iterator<Item = SocketAddrV4> {
+        let coordinators = (0..COORDINATORS).flat_map(move |number| {
             let ip = self.coordinator_ip(number);
             [CONTROL_PORT, INTERNAL_PORTS[0]].map(|port| SocketAddrV4::new(ip, port))
         });
-        let frontends = (0..FRONTENDS).flat_map(|number| {
+        let frontends = (0..FRONTENDS).flat_map(move |number| {
             let ip = self.frontend_ip(number);
             [FRONTEND_PORT, READINESS_PORT, INTERNAL_PORTS[0] + 1].map(|port| SocketAddrV4::new(ip, port))
         });
-        for address in coordinators.chain(frontends) {
-            TcpListener::bind(address)?;
-        }
-        Ok(())
-    }
-
-    fn ip(&self, last_octet: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.block[0], self.block[1], last_octet as u8)
+        coordinators.chain(frontends)
     }
 
     /// The IP address of a coordinator, by its number from 0.
     pub fn coordinator_ip(&self, number: usize) -> Ipv4Addr {
-        self.ip(1 + number)
+        self.block.ip(1 + number)
     }
 
     /// The IP address of a frontend, by its number from 0.
     pub fn frontend_ip(&self, number: usize) -> Ipv4Addr {
-        self.ip(11 + number)
+        self.block.ip(11 + number)
     }
 
     /// The address of a backend, with port 0: the system assigns the port.
     pub fn backend_address(&self, number: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.ip(101 + number % 100), 0)
+        SocketAddrV4::new(self.block.ip(101 + number % 100), 0)
     }
 
     /// The address of the platform, with port 0: the system assigns the port.
     pub fn platform_address(&self) -> SocketAddrV4 {
-        SocketAddrV4::new(self.ip(250), 0)
+        SocketAddrV4::new(self.block.ip(250), 0)
     }
 
     /// The address of a coordinator's status and configuration calls.
