--- a/crates/control-trials/src/lib.rs
+++ b/crates/control-trials/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`trial`]: a trial from its start to its verdict; [`disruption`] draws what happens and [`disruptor`]
 //!   carries it out.
 //! - [`addresses`], [`deploy_file`], [`machines`], [`links`]: the processes and the relays between them.
+//! - [`disk_monitor`]: whether the disk that the coordinators share was slow.
 //! - [`process_end`], [`resource_peak`]: whether a process ended by itself, and what the processes used at most.
 //! - [`document`], [`operator`], [`clients`], [`held_connections`], [`stand_ins`]: configurations, and who sends
 //!   and observes them.
@@ -21,6 +22,7 @@
 pub mod contact;
 mod core_status;
 pub mod deploy_file;
+pub mod disk_monitor;
 pub mod disruption;
 pub mod disruptor;
 pub mod document;
--- a/crates/control-trials/src/trial.rs
+++ b/crates/control-trials/src/trial.rs
@@ -5,6 +5,7 @@
 use crate::checker::{self, Violation};
 use crate::clients::Client;
 use crate::deploy_file::RoleCommands;
+use crate::disk_monitor;
 use crate::disruption::{CoreDisruption, Disruption, FinalFault, draw_final_fault, draw_wave};
 use crate::disruptor::Disruptor;
 use crate::held_connections::{self, UsagePattern};
@@ -118,10 +119,12 @@
     let machines = Rc::new(Machines::new(&world, &links, setup, COORDINATORS, frontends));
     machines.start_all().await?;
     let supervised = machines.clone();
+    let disk = disk_monitor::run(world.clone(), folder.clone());
     let trial = Trial { world, machines, links, options, frontends };
     tokio::select! {
         outcome = trial.run() => outcome,
         error = supervised.supervise() => Err(error),
+        error = disk => Err(TrialError::Io("write to the disk", error)),
     }
 }
 
