--- a/crates/control-trials/src/addresses.rs
+++ b/crates/control-trials/src/addresses.rs
@@ -1,7 +1,7 @@
 //! The addresses of a trial: a block of 256 addresses of the loopback network, one for each machine.
 
 use crate::TrialError;
-use fleet_demo::loopback_block::LoopbackBlock;
+use fleet_demo::loopback_block::{BlockReservation, LoopbackBlock};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 // All ports are below the range that the system assigns to other sockets.
@@ -33,15 +33,16 @@
 }
 
 impl AddressBlock {
-    /// Finds a block whose addresses are free. The search starts at block `first`: concurrent trials pass
+    /// Reserves a block whose addresses are free. The search starts at block `first`: concurrent trials pass
     /// different values.
     ///
     /// # Errors
     /// No block is free; with the error of the last one that was tried.
-    pub fn find(first: u32) -> Result<Self, TrialError> {
-        let block = LoopbackBlock::find(first, |block| AddressBlock { block }.checked_addresses());
-        let block = block.map_err(|error| TrialError::Io("find free addresses on loopback", error))?;
-        Ok(AddressBlock { block })
+    pub fn reserve(first: u32) -> Result<(Self, BlockReservation), TrialError> {
+        let reserved = LoopbackBlock::reserve(first, |block| AddressBlock { block }.checked_addresses());
+        let failed = |error| TrialError::Io("find free addresses on loopback", error);
+        let (block, reservation) = reserved.map_err(failed)?;
+        Ok((AddressBlock { block }, reservation))
     }
 
     /// The addresses by which a block is found to be free.
--- a/crates/control-trials/src/trial.rs
+++ b/crates/control-trials/src/trial.rs
@@ -110,7 +110,8 @@
 async fn run_in(options: &TrialOptions, folder: PathBuf) -> Result<TrialOutcome, TrialError> {
     let frontends = options.frontends.clamp(1, MAX_FRONTENDS);
     let first_block = std::process::id().wrapping_mul(31).wrapping_add(options.seed as u32);
-    let world = Rc::new(World::new(AddressBlock::find(first_block)?));
+    let (addresses, _reservation) = AddressBlock::reserve(first_block)?;
+    let world = Rc::new(World::new(addresses));
     let platform = stand_ins::start(world.addresses).await?;
     let links = Rc::new(Links::start(world.addresses, &machine_ids(frontends), MAX_COORDINATORS).await?);
     let commands = RoleCommands::load(&options.deploy_file)?;
--- a/crates/fleet-demo/src/state.rs
+++ b/crates/fleet-demo/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that all parts of a run share: addresses, clock and observations.
 
 use crate::DemoError;
+use crate::loopback_block::BlockReservation;
 use crate::observations::{Arrival, Attempt, Location, Observations, ProcessFault};
 use crate::topology::{FRONTENDS, Topology};
 use std::cell::{Cell, RefCell};
@@ -18,6 +19,7 @@
     pub ready: RefCell<[bool; FRONTENDS]>,
     newest_sent: Cell<Option<u64>>,
     started_at: Instant,
+    _reservation: BlockReservation,
 }
 
 impl DemoState {
@@ -26,8 +28,10 @@
     /// # Errors
     /// No free block of loopback addresses was found.
     pub fn new() -> Result<Rc<Self>, DemoError> {
+        let (topology, reservation) = Topology::reserve(std::process::id())?;
         Ok(Rc::new(DemoState {
-            topology: Topology::find(std::process::id())?,
+            topology,
+            _reservation: reservation,
             observations: RefCell::default(),
             ready: RefCell::default(),
             newest_sent: Cell::default(),
--- a/crates/fleet-demo/src/topology.rs
+++ b/crates/fleet-demo/src/topology.rs
@@ -1,7 +1,7 @@
 //! The machines of the fleet: their names, zones and addresses on loopback.
 
 use crate::DemoError;
-use crate::loopback_block::LoopbackBlock;
+use crate::loopback_block::{BlockReservation, LoopbackBlock};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// The number of coordinators, which form the core.
@@ -27,15 +27,16 @@
 }
 
 impl Topology {
-    /// Finds a block in which all addresses are free. The search starts at block `first`: concurrent runs
+    /// Reserves a block in which all addresses are free. The search starts at block `first`: concurrent runs
     /// pass different values, so that they do not compete for the same block.
     ///
     /// # Errors
     /// No block is free; with the error of the last block that was tried.
-    pub fn find(first: u32) -> Result<Topology, DemoError> {
-        let block = LoopbackBlock::find(first, |block| Topology { block }.listened_addresses());
-        let block = block.map_err(|error| DemoError::Io("find free addresses on loopback", error))?;
-        Ok(Topology { block })
+    pub fn reserve(first: u32) -> Result<(Topology, BlockReservation), DemoError> {
+        let reserved = LoopbackBlock::reserve(first, |block| Topology { block }.listened_addresses());
+        let failed = |error| DemoError::Io("find free addresses on loopback", error);
+        let (block, reservation) = reserved.map_err(failed)?;
+        Ok((Topology { block }, reservation))
     }
 
     /// The addresses at which the processes of the fleet listen.
--- a/crates/fleet-demo/tests/golden.rs
+++ b/crates/fleet-demo/tests/golden.rs
@@ -56,7 +56,7 @@
 
 #[test]
 fn settings_files_match_the_golden_file() {
-    let topology = Topology::find(std::process::id()).expect("a block of addresses");
+    let (topology, _reservation) = Topology::reserve(std::process::id()).expect("a block of addresses");
     let octets = topology.coordinator_ip(0).octets();
     let block = format!("127.{}.{}.", octets[1], octets[2]);
     let platform = SocketAddrV4::new(Ipv4Addr::new(127, octets[1], octets[2], 250), 8000);
--- a/crates/marlwinch-roles/tests/deployment/mod.rs
+++ b/crates/marlwinch-roles/tests/deployment/mod.rs
@@ -4,6 +4,7 @@
 //! `DEPLOY_ROOT` names a clone in which the deploy file's build was run; its programs are started then. Without
 //! it, the program of this package is.
 
+use fleet_demo::loopback_block::{BlockReservation, LoopbackBlock};
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -73,8 +74,8 @@
     deployment: Deployment,
     folder: tempfile::TempDir,
     platform: SocketAddr,
-    /// The octets of the machines' addresses between the first and the last.
-    block: [u8; 2],
+    block: LoopbackBlock,
+    _reservation: BlockReservation,
 }
 
 impl Fleet {
@@ -83,8 +84,7 @@
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let number =
             std::process::id().wrapping_mul(16).wrapping_add(STARTED.fetch_add(1, Ordering::Relaxed));
-        // The second octet is above those of the trials and the demonstration.
-        let block = [221 + (number / 250 % 30) as u8, (number % 250) as u8];
+        let (block, reservation) = LoopbackBlock::reserve(number, |_| []).expect("a block of addresses");
         let folder = tempfile::tempdir().expect("a folder");
         std::fs::create_dir(folder.path().join("data")).expect("a data folder");
         let backend = serve(|head| {
@@ -95,7 +95,8 @@
             "address": backend.to_string(), "generation": "v1", "slots": 64, "state": "ready",
             "cold_remaining_ms": 0}], "next_page_token": null});
         let platform = serve(move |_| ("content-type: application/json\r\n".into(), list.to_string()));
-        let fleet = Fleet { deployment: Deployment::load(), folder, platform, block };
+        let fleet =
+            Fleet { deployment: Deployment::load(), folder, platform, block, _reservation: reservation };
         for role in ROLES {
             fleet.write_settings(role);
         }
@@ -104,7 +105,7 @@
 
     /// The address of a role's machine. Agent and data plane run on one.
     pub fn ip(&self, role: &str) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.block[0], self.block[1], if role == "coordinator" { 1 } else { 2 })
+        self.block.ip(if role == "coordinator" { 1 } else { 2 })
     }
 
     /// The address for clients.
