--- a/crates/marlwinch/src/command/system.rs
+++ b/crates/marlwinch/src/command/system.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Bpaf)]
 pub enum Command {
     /// A role of the system.
-    Role(#[bpaf(external(role_command))] RoleCommand),
+    Role(#[bpaf(external(boxed_role_command))] Box<RoleCommand>),
     /// Check a settings file: exit code 3 and the first error with its location if it is invalid
     #[bpaf(command("check-settings"))]
     CheckSettings {
@@ -50,6 +50,11 @@
     DemoFleet(#[bpaf(external(demo_fleet))] DemoFleet),
 }
 
+/// The commands of the roles, whose options are far larger than those of the tools.
+fn boxed_role_command() -> impl Parser<Box<RoleCommand>> {
+    role_command().map(Box::new)
+}
+
 /// Whether this is the name of a command of the system. [`cli`](super::cli) parses all other command lines.
 pub fn is_command(name: &str) -> bool {
     const NAMES: [&str; 8] = [
--- a/crates/marlwinch/tests/golden_cli.rs
+++ b/crates/marlwinch/tests/golden_cli.rs
@@ -325,9 +325,11 @@
     use system::Command;
     fn word(command: &Command) -> &'static str {
         match command {
-            Command::Role(RoleCommand::DataPlane(_)) => "data-plane",
-            Command::Role(RoleCommand::Agent(_)) => "agent",
-            Command::Role(RoleCommand::Coordinator(_)) => "coordinator",
+            Command::Role(role) => match **role {
+                RoleCommand::DataPlane(_) => "data-plane",
+                RoleCommand::Agent(_) => "agent",
+                RoleCommand::Coordinator(_) => "coordinator",
+            },
             Command::CheckSettings { .. } => "check-settings",
             Command::CheckConfiguration { .. } => "check-configuration",
             Command::CheckPolicy { .. } => "check-policy",
@@ -338,9 +340,9 @@
     let file = || std::path::PathBuf::from("a");
     let options = role_runtime::process::RoleOptions::default;
     let all = [
-        Command::Role(RoleCommand::DataPlane(options())),
-        Command::Role(RoleCommand::Agent(options())),
-        Command::Role(RoleCommand::Coordinator(options())),
+        Command::Role(Box::new(RoleCommand::DataPlane(options()))),
+        Command::Role(Box::new(RoleCommand::Agent(options()))),
+        Command::Role(Box::new(RoleCommand::Coordinator(options()))),
         Command::CheckSettings { file: file() },
         Command::CheckConfiguration { file: file() },
         Command::CheckPolicy { file: file() },
